--- /dev/null
+++ b/core/src/main/kotlin/wigeonreel/config/Configuration.kt
@@ -0,0 +1,182 @@
+package wigeonreel.config
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import wigeonreel.key.KeyHash
+import wigeonreel.limit.Seat
+import wigeonreel.once.HomeSet
+import wigeonreel.selector.Selector
+import wigeonreel.selector.parseSelector
+
+/** Write that took effect: the writer's operation [id] and the [version] that it made. */
+@Serializable
+data class ConfigOperation(
+    val id: String,
+    val version: Long,
+)
+
+/** Entries of one version as stored in the table service, with the latest writes, by which a writer resolves a lost answer. */
+@Serializable
+data class ConfigDocument(
+    val version: Long,
+    val operations: List<ConfigOperation> = emptyList(),
+    val entries: List<ConfigEntry> = emptyList(),
+)
+
+/** Entries changed after [fromVersion] and up to [toVersion]. */
+data class ConfigDelta(
+    val fromVersion: Long,
+    val toVersion: Long,
+    val entries: List<ConfigEntry>,
+)
+
+/** Rule with its selector parsed. */
+data class Rule(
+    val config: RuleConfig,
+    val selector: Selector,
+)
+
+/** Configuration of one version, indexed for the decisions on the path of a request. */
+class Configuration private constructor(
+    val version: Long,
+    val entries: Map<String, ConfigEntry>,
+    private val index: ConfigIndex,
+) {
+    val accounts: Map<String, AccountConfig> get() = index.accounts
+    val services: Map<String, ServiceConfig> get() = index.services
+
+    /** Home sets by service. */
+    val homeSets: Map<String, HomeSet> get() = index.homeSets
+
+    /** Seats that hold the shares of the account limits, by name. */
+    val seats: Map<String, Seat> get() = index.seats
+
+    /** Rules in the order in which they are tried. */
+    val rules: List<Rule> get() = index.rules
+
+    /** Returns the account that a key stands for, or null when it was not granted or was withdrawn. */
+    fun accountOf(hash: KeyHash): AccountConfig? = index.keys[hash.hex]?.let { accounts[it] }
+
+    /** Returns the entries changed after [version]. */
+    fun deltaSince(version: Long): ConfigDelta = ConfigDelta(version, this.version, entries.values.filter { it.version > version })
+
+    /** Returns this configuration with the newer entries of [delta]. */
+    fun merge(delta: ConfigDelta): Either<ConfigError, Configuration> {
+        val newer = delta.entries.filter { it.version > (entries[it.name]?.version ?: 0) }
+        return of(delta.toVersion, entries + newer.associateBy { it.name })
+    }
+
+    /** Returns the next version with [edits], or why they are refused. */
+    fun plan(edits: List<ConfigEdit>): Either<ConfigError, Configuration> {
+        val next = version + 1
+        val changed = edits.map { ConfigEntry(it.name, it.value, next) }
+        return of(
+            next,
+            (entries + changed.associateBy { it.name }).filterValues { it.value != null || it.version > next - TOMBSTONES_KEPT },
+        )
+    }
+
+    /** Returns the stored form, in which [operation] follows the [earlier] writes. */
+    fun toDocument(operation: String, earlier: List<ConfigOperation> = emptyList()): ConfigDocument {
+        val operations = (earlier + ConfigOperation(operation, version)).takeLast(OPERATIONS_KEPT)
+        return ConfigDocument(version, operations, entries.values.sortedBy { it.name })
+    }
+
+    companion object {
+        /** Versions for which the tombstone of a removed entry is kept. */
+        const val TOMBSTONES_KEPT = 20_000L
+
+        /** Latest writes that a document names. */
+        const val OPERATIONS_KEPT = 64
+
+        /** Configuration before the first version. */
+        val EMPTY: Configuration = Configuration(0, emptyMap(), ConfigIndex())
+
+        /** Reads a stored document. */
+        fun of(document: ConfigDocument): Either<ConfigError, Configuration> =
+            of(document.version, document.entries.associateBy { it.name })
+
+        private fun of(version: Long, entries: Map<String, ConfigEntry>): Either<ConfigError, Configuration> =
+            indexOf(entries.values).map { Configuration(version, entries, it) }
+    }
+}
+
+internal class ConfigIndex(
+    val accounts: Map<String, AccountConfig> = emptyMap(),
+    val keys: Map<String, String> = emptyMap(),
+    val services: Map<String, ServiceConfig> = emptyMap(),
+    val rules: List<Rule> = emptyList(),
+    val homeSets: Map<String, HomeSet> = emptyMap(),
+    val seats: Map<String, Seat> = emptyMap(),
+)
+
+private val json = Json { ignoreUnknownKeys = true }
+
+private const val MAX_RATE_PER_SECOND = 10_000_000.0
+
+private fun indexOf(entries: Collection<ConfigEntry>): Either<ConfigError, ConfigIndex> =
+    either {
+        val accounts = mutableMapOf<String, AccountConfig>()
+        val keys = mutableMapOf<KeyConfig, String>()
+        val services = mutableMapOf<String, ServiceConfig>()
+        val rules = mutableListOf<Rule>()
+        val homeSets = mutableMapOf<String, HomeSet>()
+        val seats = mutableMapOf<String, Seat>()
+        for (entry in entries) {
+            val value = entry.value ?: continue
+            when (entry.name.substringBefore('/')) {
+                "account" -> read<AccountConfig>(entry.name, value).bind().also { accounts[it.name] = checkAccount(entry.name, it).bind() }
+                "key" -> read<KeyConfig>(entry.name, value).bind().also { keys[it] = entry.name }
+                "service" -> read<ServiceConfig>(entry.name, value).bind().also { services[it.name] = it }
+                "rule" -> rules += ruleOf(entry.name, read<RuleConfig>(entry.name, value).bind()).bind()
+                "home" -> read<HomeSet>(entry.name, value).bind().also { homeSets[it.service] = it }
+                "seat" -> read<Seat>(entry.name, value).bind().also { seats[it.name] = it }
+                else -> raise(ConfigError.UnknownKind(entry.name))
+            }
+        }
+        keys.forEach { (key, entry) -> if (key.account !in accounts) raise(ConfigError.NoSuchAccount(entry, key.account)) }
+        val order = compareBy<Rule>({ it.config.order }, { it.config.name })
+        ConfigIndex(accounts, keys.keys.associate { it.hash to it.account }, services, rules.sortedWith(order), homeSets, seats)
+    }
+
+private fun checkAccount(entry: String, account: AccountConfig): Either<ConfigError, AccountConfig> =
+    when {
+        account.ratePerSecond !in 0.0..MAX_RATE_PER_SECOND ->
+            ConfigError.OutOfRange(entry, "ratePerSecond must be from 0 to $MAX_RATE_PER_SECOND").left()
+        account.burst !in 0.0..MAX_RATE_PER_SECOND -> ConfigError.OutOfRange(entry, "burst must be from 0 to $MAX_RATE_PER_SECOND").left()
+        !(account.weight > 0.0 && account.weight.isFinite()) -> ConfigError.OutOfRange(entry, "weight must be above 0").left()
+        else -> account.right()
+    }
+
+private fun ruleOf(entry: String, config: RuleConfig): Either<ConfigError, Rule> =
+    parseSelector(config.selector)
+        .mapLeft { ConfigError.BadValue(entry, it.message) }
+        .map { Rule(config, it) }
+
+private inline fun <reified T> read(entry: String, value: String): Either<ConfigError, T> =
+    Either
+        .catchOrThrow<SerializationException, T> { json.decodeFromString<T>(value) }
+        .mapLeft {
+            ConfigError.BadValue(
+                entry,
+                it.message
+                    .orEmpty()
+                    .lineSequence()
+                    .first(),
+            )
+        }
+
+/** Reads a stored document from its JSON text. */
+fun parseDocument(text: String): Either<ConfigError, ConfigDocument> = read("document", text)
+
+/** Returns the JSON text of this document. */
+fun ConfigDocument.toJson(): String = json.encodeToString(ConfigDocument.serializer(), this)
+
+/** Returns the entries that are in force, or an empty configuration when the document can't be read. */
+fun ConfigDocument.orEmpty(): Configuration = Configuration.of(this).getOrElse { Configuration.EMPTY }
--- /dev/null
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -0,0 +1,129 @@
+package wigeonreel.routing
+
+import wigeonreel.place.Distance
+import kotlin.random.Random
+
+/** Backend server that can be chosen, with the id of the daemon beside it. */
+data class Candidate(
+    val daemon: String,
+    val distance: Distance,
+    val slots: Int,
+)
+
+/** Why a server was chosen, or that none could be. */
+sealed interface RouteDecision {
+    /** The one log line of this decision. */
+    val logLine: String
+
+    /** Send the request to the server beside [daemon]. */
+    data class To(
+        val daemon: String,
+        val distance: Distance,
+        val load: Double,
+    ) : RouteDecision {
+        override val logLine get() = "to $daemon distance=${distance.name.lowercase()} load=${"%.2f".format(load)}"
+    }
+
+    /** No server of the service can be chosen. */
+    data class Nowhere(
+        val candidates: Int,
+        val ejected: Int,
+    ) : RouteDecision {
+        override val logLine get() = "nowhere candidates=$candidates ejected=$ejected"
+    }
+}
+
+/**
+ * Choice of a backend server, as one daemon makes it.
+ *
+ * Two servers of the nearest distance are drawn and the less loaded one is taken; a farther distance is used only when
+ * the draw is loaded beyond a threshold. Load is this daemon's own outstanding calls and the load carried on replies.
+ * Servers that fail are ejected for a while, but never more than half of them.
+ */
+class Router(
+    private val random: Random,
+) {
+    private class ServerState {
+        var outstanding = 0
+        var reportedLoad = 0.0
+        var reportedAtMs = 0L
+        var failures = 0
+        var ejectedUntilMs = 0L
+    }
+
+    private val servers = HashMap<String, ServerState>()
+
+    /** Chooses among [candidates], leaving out the servers [tried] before. */
+    fun choose(candidates: List<Candidate>, tried: Set<String>, nowMs: Long): RouteDecision {
+        val usable = candidates.filter { it.daemon !in tried }
+        val healthy = usable.filter { stateOf(it.daemon).ejectedUntilMs <= nowMs }
+        val pool = if (healthy.size * 2 >= usable.size) healthy else usable
+        var best: RouteDecision.To? = null
+        for (distance in Distance.entries) {
+            val drawn = draw(pool.filter { it.distance == distance }, nowMs) ?: continue
+            if (best == null || drawn.load + penalty(distance) < best.load + penalty(best.distance)) best = drawn
+            if (best.load < SPILL_LOAD) break
+        }
+        return best ?: RouteDecision.Nowhere(candidates.size, candidates.size - healthy.size)
+    }
+
+    /** Notes that a call was sent to [daemon]. */
+    fun onSent(daemon: String) {
+        stateOf(daemon).outstanding++
+    }
+
+    /** Notes a reply with the number of requests [inFlight] and the [limit] of the server. */
+    fun onReply(daemon: String, inFlight: Int, limit: Int, nowMs: Long) {
+        val state = stateOf(daemon)
+        state.outstanding--
+        state.failures = 0
+        state.reportedLoad = inFlight.toDouble() / limit.coerceAtLeast(1)
+        state.reportedAtMs = nowMs
+    }
+
+    /** Notes that a call got no reply. */
+    fun onFailure(daemon: String, nowMs: Long) {
+        val state = stateOf(daemon)
+        state.outstanding--
+        state.failures++
+        if (state.failures < FAILURES_TO_EJECT) return
+        state.ejectedUntilMs = nowMs + (EJECT_MS shl (state.failures - FAILURES_TO_EJECT).coerceAtMost(MAX_EJECT_DOUBLINGS))
+    }
+
+    /** Notes that the caller left before the reply came. */
+    fun onCancelled(daemon: String) {
+        stateOf(daemon).outstanding--
+    }
+
+    /** Forgets servers that are not in [known]. */
+    fun retain(known: Set<String>) {
+        servers.entries.removeIf { it.key !in known && it.value.outstanding == 0 }
+    }
+
+    private fun draw(candidates: List<Candidate>, nowMs: Long): RouteDecision.To? {
+        if (candidates.isEmpty()) return null
+        val first = candidates[random.nextInt(candidates.size)]
+        val second = candidates[random.nextInt(candidates.size)]
+        return listOf(first, second).minBy { loadOf(it, nowMs) }.let { RouteDecision.To(it.daemon, it.distance, loadOf(it, nowMs)) }
+    }
+
+    private fun loadOf(candidate: Candidate, nowMs: Long): Double {
+        val state = servers[candidate.daemon] ?: return 0.0
+        val own = state.outstanding.toDouble() / candidate.slots.coerceAtLeast(1)
+        val fresh = nowMs - state.reportedAtMs < REPORT_VALID_MS
+        return if (fresh) maxOf(own, state.reportedLoad) else own
+    }
+
+    private fun penalty(distance: Distance) = distance.ordinal * DISTANCE_PENALTY
+
+    private fun stateOf(daemon: String) = servers.getOrPut(daemon) { ServerState() }
+
+    private companion object {
+        const val SPILL_LOAD = 0.75
+        const val DISTANCE_PENALTY = 0.1
+        const val REPORT_VALID_MS = 200L
+        const val FAILURES_TO_EJECT = 2
+        const val EJECT_MS = 500L
+        const val MAX_EJECT_DOUBLINGS = 5
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/wigeonreel/ctl/AdminClient.kt
@@ -0,0 +1,34 @@
+package wigeonreel.ctl
+
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpRequest
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.HttpResult
+import wigeonreel.http.dutyLoop
+import java.util.concurrent.CompletableFuture
+
+/** Client of a daemon's admin port. */
+internal class AdminClient(
+    private val address: HttpAddress,
+) {
+    private val loop = dutyLoop("admin-client")
+    private val connector = HttpConnector(loop)
+
+    /** Sends a request and waits for the answer; null when the daemon can't be reached or does not answer. */
+    fun call(method: String, uri: String, body: String = ""): HttpResponse? {
+        val done = CompletableFuture<HttpResult>()
+        loop.execute {
+            connector.send(
+                address,
+                HttpRequest(method, uri, body = body.encodeToByteArray()),
+                TIMEOUT_MS,
+            ) { done.complete(it) }
+        }
+        return (done.get() as? HttpResult.Answer)?.response
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 15_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/codec/GossipCodec.kt
@@ -0,0 +1,113 @@
+package wigeonreel.codec
+
+import arrow.core.Either
+import com.google.protobuf.InvalidProtocolBufferException
+import wigeonreel.config.ConfigDelta
+import wigeonreel.config.ConfigEntry
+import wigeonreel.membership.ConfigProof
+import wigeonreel.membership.GossipKind
+import wigeonreel.membership.GossipMessage
+import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
+import wigeonreel.membership.PeerAddress
+import wigeonreel.membership.ServerInfo
+import wigeonreel.place.Place
+import wigeonreel.wire.Gossip
+import wigeonreel.wire.ConfigDelta as WireDelta
+import wigeonreel.wire.ConfigEntry as WireEntry
+import wigeonreel.wire.Member as WireMember
+import wigeonreel.wire.MemberState as WireState
+
+/** A datagram that can't be read. */
+data class GossipError(
+    val reason: String,
+) {
+    val message get() = "a datagram can't be read ($reason); it is dropped, check that all daemons have the same version"
+}
+
+/** Returns the bytes of this message. */
+fun GossipMessage.encode(): ByteArray =
+    Gossip
+        .newBuilder()
+        .setKindValue(kind.ordinal)
+        .setSequence(sequence)
+        .setSender(sender.toWire())
+        .setTarget(target)
+        .addAllUpdates(updates.map { it.toWire() })
+        .setConfigVersion(proof.version)
+        .setConfigProvenAtMs(proof.provenAtMs)
+        .also { builder -> config?.let { builder.setConfig(it.toWire()) } }
+        .setDigest(digest)
+        .addAllBucketDigests(bucketDigests)
+        .build()
+        .toByteArray()
+
+/** Reads a datagram. */
+fun decodeGossip(bytes: ByteArray): Either<GossipError, GossipMessage> =
+    Either
+        .catchOrThrow<InvalidProtocolBufferException, Gossip> { Gossip.parseFrom(bytes) }
+        .mapLeft { GossipError("no message") }
+        .fold({ Either.Left(it) }, { it.toCore() })
+
+/** Returns the wire form of a configuration delta. */
+fun ConfigDelta.toWire(): WireDelta =
+    WireDelta
+        .newBuilder()
+        .setFromVersion(fromVersion)
+        .setToVersion(toVersion)
+        .addAllEntries(entries.map { it.toWire() })
+        .build()
+
+/** Returns the configuration delta of its wire form. */
+fun WireDelta.toCore(): ConfigDelta = ConfigDelta(fromVersion, toVersion, entriesList.map { it.toCore() })
+
+private fun Gossip.toCore(): Either<GossipError, GossipMessage> {
+    val kind = GossipKind.entries.getOrNull(kindValue) ?: return Either.Left(GossipError("unknown kind $kindValue"))
+    val sender = sender.toCore() ?: return Either.Left(GossipError("unknown member state"))
+    val updates = updatesList.map { it.toCore() ?: return Either.Left(GossipError("unknown member state")) }
+    return Either.Right(
+        GossipMessage(
+            kind = kind,
+            sequence = sequence,
+            sender = sender,
+            target = target,
+            updates = updates,
+            proof = ConfigProof(configVersion, configProvenAtMs),
+            config = if (hasConfig()) config.toCore() else null,
+            digest = digest,
+            bucketDigests = bucketDigestsList,
+        ),
+    )
+}
+
+private fun Member.toWire(): WireMember =
+    WireMember
+        .newBuilder()
+        .setId(id)
+        .setIncarnation(incarnation)
+        .setRevision(revision)
+        .setStateValue(state.ordinal)
+        .setHost(address.host)
+        .setPeerPort(address.port)
+        .setRegion(place.region)
+        .setFailureDomain(place.failureDomain)
+        .also { builder -> server?.let { builder.setService(it.service).setSlots(it.slots).setReady(it.ready) } }
+        .build()
+
+private fun WireMember.toCore(): Member? {
+    if (state == WireState.UNRECOGNIZED) return null
+    val server = if (service.isEmpty()) null else ServerInfo(service, slots, ready)
+    val state = MemberState.entries[stateValue]
+    return Member(id, incarnation, revision, state, PeerAddress(host, peerPort), Place(region, failureDomain), server)
+}
+
+private fun ConfigEntry.toWire(): WireEntry =
+    WireEntry
+        .newBuilder()
+        .setName(name)
+        .setValue(value.orEmpty())
+        .setVersion(version)
+        .setRemoved(value == null)
+        .build()
+
+private fun WireEntry.toCore() = ConfigEntry(name, if (removed) null else value, version)
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -0,0 +1,219 @@
+package wigeonreel.control
+
+import com.google.common.hash.Hashing
+import io.netty.channel.EventLoopGroup
+import wigeonreel.config.ConfigDelta
+import wigeonreel.config.ConfigOffer
+import wigeonreel.config.Configuration
+import wigeonreel.daemon.Clock
+import wigeonreel.kernel.Log
+import wigeonreel.kernel.Service
+import wigeonreel.membership.ConfigProof
+import wigeonreel.membership.GossipAttachment
+import wigeonreel.membership.GossipMessage
+import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
+import wigeonreel.membership.Membership
+import wigeonreel.membership.MembershipPolicy
+import wigeonreel.membership.PeerAddress
+import wigeonreel.membership.ServerInfo
+import wigeonreel.platform.TableService
+import wigeonreel.steward.StewardPolicy
+import wigeonreel.steward.isSteward
+import wigeonreel.steward.planStewardship
+import java.net.InetSocketAddress
+import java.util.concurrent.ThreadLocalRandom
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** What the control duty publishes to the traffic duty. */
+class Publication(
+    val self: Member,
+    val members: List<Member>,
+    val configuration: Configuration?,
+    val provenAtMs: Long,
+    val heardAtMs: Long,
+    val changed: Boolean,
+)
+
+/** Control duty: membership, configuration, stewardship. Its functions belong to the control thread. */
+class ControlService(
+    private val loop: EventLoopGroup,
+    self: Member,
+    table: TableService,
+    private val clock: Clock,
+    private val fetchConfig: (PeerAddress, Long, (ConfigDelta) -> Unit) -> Unit,
+    private val publish: (Publication) -> Unit,
+) : Service {
+    override val name = "control"
+    private val log = Log("control")
+    private val membership = Membership(self, MembershipPolicy(), Random(ThreadLocalRandom.current().nextLong()))
+    private val registry = MemberRegistry(table)
+    private val socket: GossipSocket =
+        GossipSocket(loop, InetSocketAddress(self.address.host, self.address.port)) { message, from -> onMessage(message, from) }
+    private var publishedChanges = -1L
+    private var publishedVersion = -1L
+    private var nextPollMs = 0L
+    private var nextStewardMs = 0L
+    private var writing = false
+    private var fetchingUntilMs = 0L
+    private var deltaBase = 0L
+
+    /** Configuration of this daemon. */
+    val keeper = ConfigKeeper(table, clock) { onConfigChange() }
+
+    /** Members of the fleet as known here. */
+    val members: Collection<Member> get() = membership.view.members
+
+    /** This daemon. */
+    val self: Member get() = membership.self
+
+    /** Bytes that the membership protocol sent. */
+    val sentBytes: Long get() = socket.sentBytes
+
+    /** Bytes that the membership protocol received. */
+    val receivedBytes: Long get() = socket.receivedBytes
+
+    override fun start() {
+        socket.open()
+        loop.submit { begin() }.sync()
+        loop.scheduleAtFixedRate({ guarded { tick() } }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun stop() {
+        loop.submit { leave(MemberState.LEFT) }.sync()
+        Thread.sleep(LEAVE_SEND_MS)
+        socket.close()
+    }
+
+    /** Announces the local server to the fleet and to the store. */
+    fun announce(server: ServerInfo?) {
+        val before = membership.self
+        membership.announce(server, before.state)
+        if (membership.self != before) registry.announce(membership.self)
+    }
+
+    /** Tells the fleet that this daemon leaves or has left. */
+    fun leave(state: MemberState) {
+        membership.announce(membership.self.server?.copy(ready = false), state)
+        if (state == MemberState.LEFT) registry.withdraw(membership.self)
+        repeat(LEAVE_ROUNDS) { socket.send(membership.tick(clock.nowMs() + it * TICK_MS * 2)) }
+    }
+
+    /** Takes evidence that a daemon does not answer requests. */
+    fun onUnreachable(id: String) = membership.onUnreachable(id, clock.nowMs())
+
+    /** Takes a configuration delta from a peer; returns the version in force. */
+    fun offerConfig(delta: ConfigDelta): Long {
+        keeper.offer(delta)
+        return keeper.replica.current.version
+    }
+
+    private fun begin() {
+        registry.announce(membership.self)
+        registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
+        keeper.poll()
+    }
+
+    private fun tick() {
+        val nowMs = clock.nowMs()
+        socket.send(membership.tick(nowMs))
+        if (nowMs >= nextPollMs) poll(nowMs)
+        if (nowMs >= nextStewardMs) steward(nowMs)
+        publishNow(nowMs)
+    }
+
+    private fun poll(nowMs: Long) {
+        val intervalMs = if (!keeper.replica.ready || isPoller()) POLLER_INTERVAL_MS else OTHERS_INTERVAL_MS
+        nextPollMs = nowMs + intervalMs / 2 + ThreadLocalRandom.current().nextLong(intervalMs)
+        keeper.poll { attach() }
+        if (membership.view.size == 1) registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
+    }
+
+    /** A few daemons of each failure domain read the store often; the others learn by gossip. */
+    private fun isPoller(): Boolean {
+        val own = pollerWeight(self.id)
+        return members.count { it.place == self.place && it.state == MemberState.ALIVE && pollerWeight(it.id) < own } < POLLERS_PER_DOMAIN
+    }
+
+    private fun steward(nowMs: Long) {
+        nextStewardMs = nowMs + STEWARD_INTERVAL_MS
+        val settled = membership.view.size > 1 || nowMs - self.incarnation > STEWARD_ALONE_AFTER_MS
+        if (writing || !settled || !keeper.replica.ready || !isSteward(self, members)) return
+        val edits = planStewardship(self, members, keeper.replica.current, StewardPolicy(), nowMs)
+        if (edits.isEmpty()) return
+        writing = true
+        log.info("steward writes ${edits.size} home sets and seats")
+        keeper.write(edits, null) { result ->
+            writing = false
+            if (result !is WriteResult.Stored) log.info("the steward's write is not stored; it is planned again")
+        }
+    }
+
+    private fun onMessage(message: GossipMessage, from: PeerAddress): Unit =
+        guarded {
+            val nowMs = clock.nowMs()
+            socket.send(membership.onMessage(message, from, nowMs))
+            message.config?.let { if (keeper.offer(it) is ConfigOffer.Gap) fetch(message.sender.address, nowMs) }
+            if (message.proof.version > keeper.replica.current.version) fetch(message.sender.address, nowMs)
+            keeper.prove(message.proof.version, message.proof.provenAtMs)
+        }
+
+    private fun fetch(from: PeerAddress, nowMs: Long) {
+        if (nowMs < fetchingUntilMs) return
+        fetchingUntilMs = nowMs + FETCH_INTERVAL_MS
+        fetchConfig(from, keeper.replica.current.version) { delta -> loop.execute { guarded { keeper.offer(delta) } } }
+    }
+
+    private fun onConfigChange() {
+        attach()
+        publishNow(clock.nowMs())
+    }
+
+    private fun attach() {
+        val current = keeper.replica.current
+        val delta = current.deltaSince(if (deltaBase == 0L) current.version else maxOf(deltaBase, current.version - DELTA_VERSIONS))
+        val small = delta.entries.sumOf { it.value.orEmpty().length } < MAX_DELTA_CHARS
+        deltaBase = current.version
+        membership.attach(
+            GossipAttachment(
+                ConfigProof(current.version, keeper.provenAtMs),
+                delta.takeIf {
+                    small &&
+                        delta.entries.isNotEmpty()
+                },
+            ),
+        )
+    }
+
+    private fun publishNow(nowMs: Long) {
+        val version = keeper.replica.current.version
+        val changed = membership.changes != publishedChanges || version != publishedVersion
+        publishedChanges = membership.changes
+        publishedVersion = version
+        val heardAtMs = maxOf(membership.heardAtMs ?: 0, keeper.storeHeardAtMs)
+        val members = if (changed) membership.view.members.toList() else emptyList()
+        publish(Publication(self, members, keeper.replica.current.takeIf { keeper.replica.ready }, keeper.provenAtMs, heardAtMs, changed))
+        if (changed) log.info("view members=${membership.view.size} config=$version at $nowMs")
+    }
+
+    private fun guarded(action: () -> Unit) {
+        runCatching(action).onFailure { log.error("the control duty failed; report this", it) }
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val POLLER_INTERVAL_MS = 1_000L
+        const val OTHERS_INTERVAL_MS = 60_000L
+        const val POLLERS_PER_DOMAIN = 2
+        const val STEWARD_INTERVAL_MS = 1_000L
+        const val STEWARD_ALONE_AFTER_MS = 5_000L
+        const val FETCH_INTERVAL_MS = 200L
+        const val DELTA_VERSIONS = 8L
+        const val MAX_DELTA_CHARS = 900
+        const val LEAVE_ROUNDS = 4
+        const val LEAVE_SEND_MS = 50L
+    }
+}
+
+private fun pollerWeight(id: String): Long = Hashing.murmur3_128().hashString("poller/$id", Charsets.UTF_8).asLong()
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/control/GossipSocket.kt
@@ -0,0 +1,75 @@
+package wigeonreel.control
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import wigeonreel.codec.decodeGossip
+import wigeonreel.codec.encode
+import wigeonreel.kernel.Log
+import wigeonreel.membership.GossipMessage
+import wigeonreel.membership.Outgoing
+import wigeonreel.membership.PeerAddress
+import java.net.InetSocketAddress
+
+/** UDP socket of the membership protocol. */
+class GossipSocket(
+    private val loop: EventLoopGroup,
+    private val address: InetSocketAddress,
+    private val onMessage: (GossipMessage, PeerAddress) -> Unit,
+) {
+    private val log = Log("gossip")
+    private var channel: Channel? = null
+
+    /** Bytes sent since the start. */
+    @Volatile
+    var sentBytes = 0L
+        private set
+
+    /** Bytes received since the start. */
+    @Volatile
+    var receivedBytes = 0L
+        private set
+
+    /** Binds the socket. */
+    fun open() {
+        channel =
+            Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel::class.java)
+                .handler(receiver())
+                .bind(address)
+                .sync()
+                .channel()
+    }
+
+    /** Sends datagrams; loss is part of the protocol. */
+    fun send(outgoing: List<Outgoing>) {
+        val target = channel ?: return
+        for (datagram in outgoing) {
+            val bytes = datagram.message.encode()
+            sentBytes += bytes.size
+            target.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(datagram.to.host, datagram.to.port)))
+        }
+        target.flush()
+    }
+
+    /** Closes the socket. */
+    fun close() {
+        channel?.close()
+    }
+
+    private fun receiver() =
+        object : SimpleChannelInboundHandler<DatagramPacket>() {
+            override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+                val bytes = ByteArray(packet.content().readableBytes()).also { packet.content().readBytes(it) }
+                receivedBytes += bytes.size
+                val sender = packet.sender()
+                decodeGossip(bytes).fold({ log.warn(it.message) }, { onMessage(it, PeerAddress(sender.address.hostAddress, sender.port)) })
+            }
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -0,0 +1,50 @@
+package wigeonreel.control
+
+import wigeonreel.codec.decodeGossip
+import wigeonreel.codec.encode
+import wigeonreel.kernel.Log
+import wigeonreel.membership.GossipKind
+import wigeonreel.membership.GossipMessage
+import wigeonreel.membership.Member
+import wigeonreel.platform.Row
+import wigeonreel.platform.RowName
+import wigeonreel.platform.TableService
+import java.util.Base64
+
+/** Announcements of the daemons in the table service, from which a starting daemon learns its first peers. */
+class MemberRegistry(
+    private val table: TableService,
+) {
+    private val log = Log("registry")
+
+    /** Writes the row of [member]; a repeat is harmless. */
+    fun announce(member: Member) =
+        table.write(
+            rowOf(member),
+            member.toText(),
+            null,
+        ) { result -> result.onLeft { log.info("announcement not written: ${it.message}") } }
+
+    /** Deletes the row of [member]. */
+    fun withdraw(member: Member) = table.delete(rowOf(member)) { }
+
+    /** Reads one page of announcements. */
+    fun readSeeds(onSeeds: (List<Member>) -> Unit) =
+        table.scan(TABLE, "", SEEDS) { result ->
+            result.fold({ log.info("seeds not read: ${it.message}") }, { rows -> onSeeds(rows.mapNotNull { it.toMember() }) })
+        }
+
+    private fun rowOf(member: Member) = RowName(TABLE, member.id)
+
+    private fun Member.toText() = Base64.getEncoder().encodeToString(GossipMessage(GossipKind.NEWS, 0, this).encode())
+
+    private fun Row.toMember(): Member? {
+        val bytes = runCatching { Base64.getDecoder().decode(value) }.getOrNull() ?: return null
+        return decodeGossip(bytes).getOrNull()?.sender
+    }
+
+    private companion object {
+        const val TABLE = "daemons"
+        const val SEEDS = 100
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
@@ -0,0 +1,240 @@
+package wigeonreel.daemon
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import wigeonreel.admin.AdminActions
+import wigeonreel.admin.AdminApi
+import wigeonreel.admin.DaemonStatus
+import wigeonreel.admin.MemberStatus
+import wigeonreel.codec.toCore
+import wigeonreel.codec.toWire
+import wigeonreel.control.ControlService
+import wigeonreel.control.Publication
+import wigeonreel.drain.DrainState
+import wigeonreel.drain.advance
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpExchange
+import wigeonreel.http.HttpListener
+import wigeonreel.http.dutyLoop
+import wigeonreel.kernel.Kernel
+import wigeonreel.kernel.Log
+import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
+import wigeonreel.membership.PeerAddress
+import wigeonreel.once.HomeBinding
+import wigeonreel.peer.PeerClients
+import wigeonreel.peer.PeerEndpoint
+import wigeonreel.peer.PeerHandler
+import wigeonreel.platform.HttpTableService
+import wigeonreel.routing.Router
+import wigeonreel.traffic.ContextTable
+import wigeonreel.traffic.Dispatcher
+import wigeonreel.traffic.EntryService
+import wigeonreel.traffic.FleetView
+import wigeonreel.traffic.GuardService
+import wigeonreel.traffic.HomeService
+import wigeonreel.traffic.LimitService
+import wigeonreel.traffic.LocalApi
+import wigeonreel.traffic.LocalServer
+import wigeonreel.traffic.TrafficMetrics
+import wigeonreel.traffic.TrafficState
+import wigeonreel.wire.BlockRequest
+import wigeonreel.wire.BorrowRequest
+import wigeonreel.wire.ConfigDelta
+import wigeonreel.wire.ConfigReceipt
+import wigeonreel.wire.FetchConfigRequest
+import wigeonreel.wire.ForwardReply
+import wigeonreel.wire.ForwardRequest
+import java.net.InetSocketAddress
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** One daemon: puts the services together and joins the traffic duty and the control duty. */
+class Daemon(
+    private val settings: DaemonSettings,
+    private val clock: Clock = SYSTEM_CLOCK,
+) {
+    private val log = Log("daemon")
+    private val kernel = Kernel()
+    private val traffic = dutyLoop("traffic")
+    private val control = dutyLoop("control")
+    private val incarnation = clock.nowMs()
+    private val binding = HomeBinding(settings.id, incarnation)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val metrics = TrafficMetrics(registry)
+    private val state = TrafficState()
+    private val contexts = ContextTable()
+    private val connector = HttpConnector(traffic, settings.http)
+    private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
+    private val guard = kernel.register(GuardService(state, contexts, connector, metrics, clock))
+    private val home = kernel.register(HomeService(binding, state, guard, peers, clock))
+    private val limits = kernel.register(LimitService(traffic, binding, settings.place, state, peers, clock))
+    private val dispatcher =
+        kernel.register(Dispatcher(settings.id, state, Router(Random(incarnation)), peers, metrics, clock) { onUnreachable(it) })
+    private val entry = kernel.register(EntryService(settings.traffic, state, contexts, limits, dispatcher, metrics, clock))
+    private val table =
+        HttpTableService(
+            HttpConnector(control, settings.http.copy(maxBodyBytes = STORE_ANSWER_BYTES)),
+            settings.platform.tableAddress,
+            settings.platform.timeoutMs,
+        )
+    private val fleet = kernel.register(ControlService(control, self(), table, clock, ::fetchConfig, ::publish))
+    private val drained = CountDownLatch(1)
+
+    init {
+        val listen = settings.listen
+        val handler = PeerCallsHandler()
+        dispatcher.local = handler
+        val local = LocalApi(entry, guard, clock, ::announce)
+        val admin = AdminApi(fleet, registry, Actions())
+        kernel.register(
+            PeerEndpoint(
+                traffic,
+                InetSocketAddress(listen.host, listen.peerPort),
+                settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES,
+                handler,
+            ),
+        )
+        kernel.register(HttpListener("caller-listener", traffic, listen.host, listen.callerPort, settings.http, entry.callers))
+        kernel.register(HttpListener("local-listener", traffic, LOOPBACK, listen.localPort, settings.http, local))
+        kernel.register(HttpListener("admin-listener", control, listen.host, listen.adminPort, settings.http, admin))
+    }
+
+    /** Starts all services. */
+    fun start() {
+        kernel.start()
+        traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        log.info("started id=${settings.id} incarnation=$incarnation callers=${settings.listen.callerPort}")
+    }
+
+    /** Leaves: takes no new work, finishes what is in flight, then stops. */
+    fun drainAndStop() {
+        drain()
+        drained.await(settings.traffic.drainTimeoutMs + STOP_MARGIN_MS, TimeUnit.MILLISECONDS)
+        kernel.stop()
+        log.info("stopped")
+    }
+
+    private fun drain() {
+        control.execute { fleet.leave(MemberState.LEAVING) }
+        traffic.execute {
+            val nowMs = clock.nowMs()
+            limits.release()
+            if (state.serving) state.drain = DrainState.Draining(nowMs, nowMs + settings.traffic.drainTimeoutMs)
+            log.info("draining inflight=${state.inFlight}")
+        }
+    }
+
+    private fun tick() {
+        val nowMs = clock.nowMs()
+        state.drain = state.drain.advance(state.inFlight, nowMs)
+        if (state.drain == DrainState.Drained) drained.countDown()
+        val server = state.server ?: return
+        if (server.info.ready &&
+            nowMs - server.announcedAtMs > ANNOUNCEMENT_VALID_MS
+        ) {
+            announce(server.copy(info = server.info.copy(ready = false)))
+        }
+    }
+
+    private fun announce(server: LocalServer) {
+        state.server = server
+        control.execute { fleet.announce(server.info.copy(ready = server.info.ready && state.serving)) }
+    }
+
+    private fun onUnreachable(id: String) = control.execute { fleet.onUnreachable(id) }
+
+    private fun publish(publication: Publication) =
+        traffic.execute {
+            state.heardAtMs = publication.heardAtMs
+            val configuration = publication.configuration
+            if (publication.changed && configuration != null) {
+                state.view = FleetView(publication.self, publication.members, configuration)
+                peers.retain(publication.members.filter { it.live }.mapTo(HashSet()) { it.address })
+            }
+            state.view?.let {
+                home.onView(it, publication.provenAtMs)
+                limits.onView(it, publication.provenAtMs)
+            }
+        }
+
+    private fun fetchConfig(from: PeerAddress, afterVersion: Long, onDelta: (wigeonreel.config.ConfigDelta) -> Unit) =
+        traffic.execute {
+            val request = FetchConfigRequest.newBuilder().setAfterVersion(afterVersion).build()
+            peers.call(from, CONTROL_TIMEOUT_MS, { it.fetchConfig(request) }) { delta, _ -> delta?.let { onDelta(it.toCore()) } }
+        }
+
+    private fun self() =
+        Member(
+            id = settings.id,
+            incarnation = incarnation,
+            revision = 0,
+            state = MemberState.ALIVE,
+            address = PeerAddress(settings.listen.host, settings.listen.peerPort),
+            place = settings.place,
+            server = null,
+        )
+
+    private inner class PeerCallsHandler : PeerHandler {
+        override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) =
+            if (request.idempotencyKey.isEmpty()) guard.forward(request, onReply) else home.forward(request, onReply)
+
+        override fun block(request: BlockRequest) = home.block(request)
+
+        override fun borrow(request: BorrowRequest) = limits.lend(request)
+
+        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
+            val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
+            return current.deltaSince(request.afterVersion).toWire()
+        }
+
+        override fun offerConfig(delta: ConfigDelta, onReceipt: (ConfigReceipt) -> Unit) =
+            control.execute {
+                val version = fleet.offerConfig(delta.toCore())
+                traffic.execute { onReceipt(ConfigReceipt.newBuilder().setVersion(version).build()) }
+            }
+    }
+
+    private inner class Actions : AdminActions {
+        override fun status(onStatus: (DaemonStatus) -> Unit) {
+            val nowMs = clock.nowMs()
+            val members = fleet.members.sortedBy { it.id }.map { it.toStatus() }
+            onStatus(
+                DaemonStatus(
+                    id = settings.id,
+                    configVersion = fleet.keeper.replica.current.version,
+                    provenAgoMs = nowMs - fleet.keeper.provenAtMs,
+                    drain = state.drain.javaClass.simpleName,
+                    inFlight = guard.inFlight,
+                    concurrencyLimit = guard.concurrencyLimit,
+                    executionRecords = home.size,
+                    shares = limits.shares,
+                    gossipSentBytes = fleet.sentBytes,
+                    gossipReceivedBytes = fleet.receivedBytes,
+                    members = members,
+                ),
+            )
+        }
+
+        override fun drain() = this@Daemon.drain()
+
+        override fun confirm(version: Long, onUnconfirmed: (List<String>) -> Unit) =
+            Confirmation(version, fleet.members.toList(), fleet.keeper.replica.current, control, traffic, peers).start(onUnconfirmed)
+
+        override fun explain(exchange: HttpExchange) = traffic.execute { Explainer(state, clock).explain(exchange) }
+
+        private fun Member.toStatus() =
+            MemberStatus(id, state.name.lowercase(), "${place.region}/${place.failureDomain}", server?.service, routable)
+    }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val MESSAGE_OVERHEAD_BYTES = 65_536
+        const val STORE_ANSWER_BYTES = 16 * 1024 * 1024
+        const val TICK_MS = 100L
+        const val ANNOUNCEMENT_VALID_MS = 3_000L
+        const val CONTROL_TIMEOUT_MS = 2_000L
+        const val STOP_MARGIN_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
@@ -0,0 +1,46 @@
+package wigeonreel.traffic
+
+import com.google.common.hash.Hashing
+import wigeonreel.config.Configuration
+import wigeonreel.membership.Member
+import wigeonreel.place.Distance
+import wigeonreel.routing.Candidate
+
+/** What the path of requests knows of the fleet; replaced as a whole by the control duty. */
+class FleetView(
+    val self: Member,
+    members: Collection<Member>,
+    val configuration: Configuration,
+) {
+    private val byId = members.associateBy { it.id }
+    private val candidates =
+        members
+            .filter { it.routable }
+            .groupBy { it.server!!.service }
+            .mapValues { (_, serving) -> subset(serving) }
+
+    /** Returns the servers of [service] that this daemon uses, or an empty list. */
+    fun candidatesOf(service: String): List<Candidate> = candidates[service].orEmpty()
+
+    /** Returns the daemon [id], or null. */
+    fun member(id: String): Member? = byId[id]
+
+    /** Ids of all known daemons. */
+    val memberIds: Set<String> get() = byId.keys
+
+    /** Each daemon uses a part of a service's servers, so that connections do not grow with the fleet. */
+    private fun subset(serving: List<Member>): List<Candidate> =
+        Distance.entries.flatMap { distance ->
+            serving
+                .filter { self.place.distanceTo(it.place) == distance }
+                .sortedBy { weightOf(it.id) }
+                .take(MAX_SERVERS_PER_DISTANCE)
+                .map { Candidate(it.id, distance, it.server!!.slots) }
+        }
+
+    private fun weightOf(id: String) = Hashing.murmur3_128().hashString("${self.id}/$id", Charsets.UTF_8).asLong()
+
+    private companion object {
+        const val MAX_SERVERS_PER_DISTANCE = 8
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/GuardService.kt
@@ -0,0 +1,162 @@
+package wigeonreel.traffic
+
+import wigeonreel.admission.Cut
+import wigeonreel.admission.Guard
+import wigeonreel.admission.GuardDecision
+import wigeonreel.admission.GuardRequest
+import wigeonreel.admission.Rank
+import wigeonreel.config.AccountConfig
+import wigeonreel.daemon.Clock
+import wigeonreel.http.Cancellable
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpHeader
+import wigeonreel.http.HttpRequest
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.HttpResult
+import wigeonreel.http.LostReason
+import wigeonreel.kernel.Log
+import wigeonreel.kernel.Service
+import wigeonreel.outcome.Refusal
+import wigeonreel.retry.RetryLedger
+import wigeonreel.wire.ForwardReply
+import wigeonreel.wire.ForwardRequest
+
+/**
+ * Guard of the backend server beside this daemon: admits requests and passes them to the server.
+ *
+ * The caller of [forward] gets exactly one reply for each request.
+ */
+class GuardService(
+    private val state: TrafficState,
+    private val contexts: ContextTable,
+    private val connector: HttpConnector,
+    private val metrics: TrafficMetrics,
+    private val clock: Clock,
+) : Service {
+    override val name = "guard"
+    private val log = Log("guard")
+    private var guard = Guard(slots = 1, startedAtMs = 0)
+
+    /** Requests that the server is running. */
+    val inFlight: Int get() = guard.inFlight
+
+    /** Requests that the server is given at a time. */
+    val concurrencyLimit: Int get() = guard.concurrencyLimit
+
+    /** Takes an announced server; a new one starts cold. */
+    fun onServer(server: LocalServer, nowMs: Long) {
+        val known = state.server
+        if (known == null || known.address != server.address) guard = Guard(server.info.slots, nowMs) else guard.declare(server.info.slots)
+        state.server = server
+    }
+
+    /** Returns why nothing can be run now, or null. */
+    fun unavailable(request: ForwardRequest): Refusal? {
+        val server = state.server
+        return when {
+            !state.serving -> Refusal.DRAINING
+            server == null || !server.info.ready || server.info.service != request.service -> Refusal.NO_SERVER
+            else -> null
+        }
+    }
+
+    /** Admits [request] and runs it on the local server; returns how to cancel it. */
+    fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit): () -> Unit {
+        val nowMs = clock.nowMs()
+        val refusal = unavailable(request)
+        if (refusal != null) return refuse(request, refusal, Cut.NONE, onReply)
+        val decision = guard.decide(guardRequest(request, nowMs), nowMs)
+        return when (decision) {
+            is GuardDecision.Refuse -> refuse(request, decision.refusal, decision.cut, onReply)
+            is GuardDecision.Admit -> run(request, decision.cut, nowMs, onReply)
+        }
+    }
+
+    private fun guardRequest(request: ForwardRequest, nowMs: Long) =
+        GuardRequest(Rank(request.rank), request.account, request.weight, request.depth, nowMs + request.timeoutMs)
+
+    private fun refuse(request: ForwardRequest, refusal: Refusal, cut: Cut, onReply: (ForwardReply) -> Unit): () -> Unit {
+        log.decision { "refuse ${request.rootId} account=${request.account} reason=${refusal.wireName} cut=${cut.place}" }
+        metrics.guardRefused(refusal)
+        onReply(refusalReply(request, refusal, cut).withLoad().build())
+        return {}
+    }
+
+    private fun run(request: ForwardRequest, cut: Cut, nowMs: Long, onReply: (ForwardReply) -> Unit): () -> Unit {
+        val server = state.server!!
+        log.decision { "admit ${request.rootId} account=${request.account} worth=${Rank(request.rank).worth} inflight=${guard.inFlight}" }
+        state.inFlight++
+        val context = contextOf(request, nowMs)
+        val token = contexts.open(context)
+        val startedNs = System.nanoTime()
+        val running: Cancellable =
+            connector.send(server.address, toServer(request, token), request.timeoutMs.toLong()) { result ->
+                state.inFlight--
+                contexts.close(token)
+                onReply(finish(request, result, cut, startedNs).withContext(context).withLoad().build())
+            }
+        return { running.cancel() }
+    }
+
+    private fun finish(request: ForwardRequest, result: HttpResult, cut: Cut, startedNs: Long): ForwardReply.Builder =
+        when (result) {
+            is HttpResult.Answer -> onAnswer(request, result.response, cut, startedNs)
+            is HttpResult.NotSent -> {
+                guard.onCancelled()
+                refusalReply(request, Refusal.SERVER_UNREACHABLE, cut)
+            }
+            is HttpResult.Lost -> onLost(request, result.reason, cut)
+        }
+
+    private fun onAnswer(request: ForwardRequest, response: HttpResponse, cut: Cut, startedNs: Long): ForwardReply.Builder {
+        if (response.status == SERVICE_UNAVAILABLE && response.header(HeaderNames.SHED) != null) {
+            guard.onShed()
+            return refusalReply(request, Refusal.OVERLOADED, cut)
+        }
+        guard.onAnswer((System.nanoTime() - startedNs) / NS_PER_MS)
+        return answerReply(request, response, cut)
+    }
+
+    private fun onLost(request: ForwardRequest, reason: LostReason, cut: Cut): ForwardReply.Builder {
+        if (reason == LostReason.TIMED_OUT) guard.onShed() else guard.onCancelled()
+        val refusal =
+            when (reason) {
+                LostReason.TIMED_OUT, LostReason.CLOSED, LostReason.CANCELLED -> Refusal.ANSWER_LOST
+                LostReason.TRUNCATED -> Refusal.ANSWER_TRUNCATED
+                LostReason.TOO_LARGE -> Refusal.ANSWER_TOO_LARGE
+            }
+        return refusalReply(request, refusal, cut)
+    }
+
+    private fun contextOf(request: ForwardRequest, nowMs: Long): RequestContext {
+        val known =
+            state.view
+                ?.configuration
+                ?.accounts
+                ?.get(request.account)
+        val account = known ?: AccountConfig(request.account, ratePerSecond = 0.0, burst = 0.0, weight = request.weight)
+        val ledger = RetryLedger(request.retryBudget)
+        return RequestContext(request.rootId, Rank(request.rank), account, request.depth + 1, nowMs + request.timeoutMs, ledger)
+    }
+
+    private fun toServer(request: ForwardRequest, token: String): HttpRequest {
+        val own =
+            buildList {
+                add(HttpHeader(HeaderNames.CONTEXT, token))
+                add(HttpHeader(HeaderNames.ACCOUNT, request.account))
+                add(HttpHeader(HeaderNames.TIMEOUT_MS, request.timeoutMs.toString()))
+                if (request.idempotencyKey.isNotEmpty()) add(HttpHeader(HeaderNames.IDEMPOTENCY_KEY, request.idempotencyKey))
+            }
+        return HttpRequest(request.method, request.uri, request.headersList.toHttp().passable() + own, request.body.toByteArray())
+    }
+
+    private fun ForwardReply.Builder.withContext(context: RequestContext): ForwardReply.Builder =
+        setRetriesSpent(context.ledger.spent).setCut(maxOf(cut, context.childCut.place))
+
+    private fun ForwardReply.Builder.withLoad(): ForwardReply.Builder = setInFlight(guard.inFlight).setLimit(guard.concurrencyLimit)
+
+    private companion object {
+        const val SERVICE_UNAVAILABLE = 503
+        const val NS_PER_MS = 1_000_000.0
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/LocalApi.kt
@@ -0,0 +1,70 @@
+package wigeonreel.traffic
+
+import arrow.core.Either
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import wigeonreel.daemon.Clock
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpExchange
+import wigeonreel.http.HttpFault
+import wigeonreel.http.HttpHandler
+import wigeonreel.http.jsonResponse
+import wigeonreel.kernel.Log
+import wigeonreel.membership.ServerInfo
+
+/** Announcement that a backend server repeats every second. */
+@Serializable
+data class Announcement(
+    val service: String,
+    val address: String,
+    val slots: Int,
+    val ready: Boolean = true,
+)
+
+/** Listener for the backend server beside this daemon: its announcements and its own calls. */
+class LocalApi(
+    private val entry: EntryService,
+    private val guard: GuardService,
+    private val clock: Clock,
+    private val onServer: (LocalServer) -> Unit,
+) : HttpHandler {
+    private val log = Log("local")
+
+    override fun handle(exchange: HttpExchange) =
+        when (exchange.request.path) {
+            ANNOUNCE_PATH -> announce(exchange)
+            else -> entry.handleLocal(exchange)
+        }
+
+    override fun reject(fault: HttpFault) = entry.rejection(fault)
+
+    private fun announce(exchange: HttpExchange) {
+        val parsed =
+            Either.catchOrThrow<SerializationException, Announcement> {
+                Json.decodeFromString(
+                    exchange.request.body.decodeToString(),
+                )
+            }
+        val announcement = parsed.getOrNull()
+        val address = announcement?.let { HttpAddress.parse(it.address) }
+        if (announcement == null || address == null || announcement.slots < 1 || announcement.service.isEmpty()) return reject(exchange)
+        val server = LocalServer(ServerInfo(announcement.service, announcement.slots, announcement.ready), address, clock.nowMs())
+        guard.onServer(server, clock.nowMs())
+        onServer(server)
+        exchange.respond(jsonResponse(OK, "{}"))
+    }
+
+    private fun reject(exchange: HttpExchange) {
+        log.warn("an announcement can't be read; the server must send service, address as host:port, slots and ready as JSON")
+        val remedy = """{"kind":"malformed-announcement","remedy":"send service, address as host:port, slots and ready as JSON"}"""
+        exchange.respond(jsonResponse(BAD_REQUEST, remedy))
+    }
+
+    companion object {
+        /** Path to which backend servers post their announcements. */
+        const val ANNOUNCE_PATH: String = "/_wigeon/announce"
+        private const val OK = 200
+        private const val BAD_REQUEST = 400
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/Refusals.kt
@@ -0,0 +1,33 @@
+package wigeonreel.traffic
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import wigeonreel.http.HttpHeader
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.jsonResponse
+import wigeonreel.outcome.Refusal
+
+/** Body of a refusal as callers get it. */
+@Serializable
+data class RefusalBody(
+    val kind: String,
+    val outcome: String,
+    val remedy: String,
+    val retryAfterMs: Int,
+    val idempotencyKey: String? = null,
+)
+
+private val json = Json { explicitNulls = false }
+private const val MS_PER_SECOND = 1_000
+
+/** Returns the HTTP answer for this refusal; [mintedKey] is a key that the caller can use. */
+fun Refusal.toResponse(retryAfterMs: Int = this.retryAfterMs, mintedKey: String? = null): HttpResponse {
+    val body = RefusalBody(wireName, ran.wireName, remedy, retryAfterMs, mintedKey)
+    val headers =
+        buildList {
+            add(HttpHeader(HeaderNames.OUTCOME, ran.wireName.replace(' ', '-')))
+            if (retryAfterMs > 0) add(HttpHeader("Retry-After", ((retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toString()))
+            if (mintedKey != null) add(HttpHeader(HeaderNames.IDEMPOTENCY_KEY, mintedKey))
+        }
+    return jsonResponse(status, json.encodeToString(RefusalBody.serializer(), body), headers)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/RequestContext.kt
@@ -0,0 +1,25 @@
+package wigeonreel.traffic
+
+import wigeonreel.admission.Cut
+import wigeonreel.admission.Rank
+import wigeonreel.config.AccountConfig
+import wigeonreel.retry.RetryLedger
+
+/** What the calls of one request tree have in common at one daemon. */
+class RequestContext(
+    val rootId: String,
+    val rank: Rank,
+    val account: AccountConfig,
+    val depth: Int,
+    val deadlineMs: Long,
+    val ledger: RetryLedger,
+) {
+    /** Highest cut that this request's child calls met. */
+    var childCut: Cut = Cut.NONE
+        private set
+
+    /** Takes the cut that a child call met. */
+    fun onChildCut(cut: Cut) {
+        if (cut.place > childCut.place) childCut = cut
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
@@ -0,0 +1,148 @@
+package wigeonreel.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.AttributeKey
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import io.netty.handler.codec.http.HttpMessage as NettyHttpMessage
+import io.netty.handler.codec.http.HttpResponse as NettyHttpResponse
+
+private val CALL = AttributeKey.valueOf<ClientCall>("wigeonreel.call")
+
+/** One request on its way; its callback is called exactly once. */
+internal class ClientCall(
+    private val request: HttpRequest,
+    val address: HttpAddress,
+    private val onResult: (HttpResult) -> Unit,
+) {
+    private var channel: Channel? = null
+    private var timer: ScheduledFuture<*>? = null
+    private var done = false
+
+    fun startTimer(loop: EventLoop, timeoutMs: Long) {
+        timer = loop.schedule({ fail(LostReason.TIMED_OUT) }, timeoutMs, TimeUnit.MILLISECONDS)
+    }
+
+    fun begin(channel: Channel) {
+        if (done) {
+            channel.close()
+            return
+        }
+        this.channel = channel
+        channel.attr(CALL).set(this)
+        channel.writeAndFlush(toNetty())
+    }
+
+    fun notSent(cause: Throwable) = complete(HttpResult.NotSent(cause.javaClass.simpleName))
+
+    fun answered(response: HttpResponse) = complete(HttpResult.Answer(response))
+
+    /** Ends the call without an answer; before a connection stands, nothing can have reached the server. */
+    fun fail(reason: LostReason) {
+        val used = channel
+        complete(if (used == null) HttpResult.NotSent(reason.name) else HttpResult.Lost(reason))
+        used?.takeIf { it.attr(CALL).get() === this }?.close()
+    }
+
+    private fun complete(result: HttpResult) {
+        if (done) return
+        done = true
+        timer?.cancel(false)
+        onResult(result)
+    }
+
+    private fun toNetty(): DefaultFullHttpRequest {
+        val content = Unpooled.wrappedBuffer(request.body)
+        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.uri, content)
+        request.headers.filterNot { it.isHopByHop }.forEach { message.headers().add(it.name, it.value) }
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        if (!message.headers().contains(HttpHeaderNames.HOST)) message.headers().set(HttpHeaderNames.HOST, address.toString())
+        return message
+    }
+}
+
+/** Refuses answers without a length, since their end can't be told from a cut. */
+internal class FramingCheck : ChannelInboundHandlerAdapter() {
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        if (message is NettyHttpResponse && !framed(message)) {
+            ctx
+                .channel()
+                .attr(CALL)
+                .get()
+                ?.fail(LostReason.TRUNCATED)
+            ctx.close()
+            return
+        }
+        ctx.fireChannelRead(message)
+    }
+
+    private fun framed(response: NettyHttpResponse) =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response) || response.status().code() in NO_BODY
+
+    private companion object {
+        val NO_BODY = setOf(204, 304)
+    }
+}
+
+/** Gathers answers up to a bound. */
+internal class ResponseAggregator(
+    maxBodyBytes: Int,
+) : HttpObjectAggregator(maxBodyBytes) {
+    override fun handleOversizedMessage(ctx: ChannelHandlerContext, oversized: NettyHttpMessage) {
+        ctx
+            .channel()
+            .attr(CALL)
+            .get()
+            ?.fail(LostReason.TOO_LARGE)
+        ctx.close()
+    }
+}
+
+/** One connection to a server. */
+internal class ClientConnection(
+    private val connector: HttpConnector,
+) : SimpleChannelInboundHandler<FullHttpResponse>() {
+    override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpResponse) {
+        val call = ctx.channel().attr(CALL).getAndSet(null)
+        if (call == null || !message.decoderResult().isSuccess) {
+            call?.fail(LostReason.TRUNCATED)
+            ctx.close()
+            return
+        }
+        val body = ByteArray(message.content().readableBytes()).also { message.content().readBytes(it) }
+        if (HttpUtil.isKeepAlive(message)) connector.release(call.address, ctx.channel()) else ctx.close()
+        call.answered(HttpResponse(message.status().code(), message.headers().map { HttpHeader(it.key, it.value) }, body))
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        ctx
+            .channel()
+            .attr(CALL)
+            .getAndSet(null)
+            ?.fail(LostReason.CLOSED)
+    }
+
+    @Deprecated("Netty's signature")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        val reason = if (cause is TooLongFrameException) LostReason.TOO_LARGE else LostReason.CLOSED
+        ctx
+            .channel()
+            .attr(CALL)
+            .getAndSet(null)
+            ?.fail(reason)
+        ctx.close()
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/wigeonreel/http/HttpLimits.kt
@@ -0,0 +1,9 @@
+package wigeonreel.http
+
+/** Bounds on HTTP messages, in bytes, and the time for which an idle connection is kept, in milliseconds. */
+data class HttpLimits(
+    val maxBodyBytes: Int = 4 * 1024 * 1024,
+    val maxHeaderBytes: Int = 16 * 1024,
+    val maxRequestLineBytes: Int = 8 * 1024,
+    val idleTimeoutMs: Long = 60_000,
+)
--- /dev/null
+++ b/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
@@ -0,0 +1,60 @@
+package wigeonreel.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.timeout.IdleStateHandler
+import wigeonreel.kernel.Service
+import java.util.concurrent.TimeUnit
+
+/** HTTP/1.1 server on one address; requests of one connection are handled one after the other. */
+class HttpListener(
+    override val name: String,
+    private val loop: EventLoopGroup,
+    private val host: String,
+    private val port: Int,
+    private val limits: HttpLimits,
+    private val handler: HttpHandler,
+) : Service {
+    private var channel: Channel? = null
+
+    override fun start() {
+        val bootstrap =
+            ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer())
+        channel = bootstrap.bind(host, port).sync().channel()
+    }
+
+    override fun stop() {
+        channel?.close()?.sync()
+    }
+
+    private fun initializer() =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(ch: SocketChannel) {
+                ch.pipeline().addLast(
+                    IdleStateHandler(0, 0, limits.idleTimeoutMs, TimeUnit.MILLISECONDS),
+                    HttpRequestDecoder(limits.maxRequestLineBytes, limits.maxHeaderBytes, CHUNK_BYTES),
+                    HttpResponseEncoder(),
+                    RequestAggregator(limits.maxBodyBytes, handler),
+                    ServerConnection(handler),
+                )
+            }
+        }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val CHUNK_BYTES = 8_192
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/wigeonreel/http/HttpMessages.kt
@@ -0,0 +1,77 @@
+package wigeonreel.http
+
+/** Header field of an HTTP message. */
+data class HttpHeader(
+    val name: String,
+    val value: String,
+)
+
+/** Whole HTTP request. */
+class HttpRequest(
+    val method: String,
+    val uri: String,
+    val headers: List<HttpHeader> = emptyList(),
+    val body: ByteArray = EMPTY_BODY,
+) {
+    /** Path without the query. */
+    val path: String get() = uri.substringBefore('?')
+
+    /** Returns the first value of the header [name], or null. */
+    fun header(name: String): String? = headers.valueOf(name)
+
+    /** Returns the value of the query parameter [name], or null. */
+    fun query(name: String): String? =
+        uri
+            .substringAfter('?', "")
+            .split('&')
+            .firstOrNull { it.startsWith("$name=") }
+            ?.substringAfter('=')
+}
+
+/** Whole HTTP response. */
+class HttpResponse(
+    val status: Int,
+    val headers: List<HttpHeader> = emptyList(),
+    val body: ByteArray = EMPTY_BODY,
+) {
+    /** Returns the first value of the header [name], or null. */
+    fun header(name: String): String? = headers.valueOf(name)
+
+    /** Body as UTF-8 text. */
+    val text: String get() = body.decodeToString()
+}
+
+/** Outcome of a request sent by an [HttpConnector]. */
+sealed interface HttpResult {
+    /** The whole answer. */
+    class Answer(
+        val response: HttpResponse,
+    ) : HttpResult
+
+    /** The request certainly did not reach the server. */
+    data class NotSent(
+        val reason: String,
+    ) : HttpResult
+
+    /** The request may have reached the server, and no whole answer came. */
+    data class Lost(
+        val reason: LostReason,
+    ) : HttpResult
+}
+
+/** Why no whole answer came. */
+enum class LostReason { TIMED_OUT, CLOSED, TRUNCATED, TOO_LARGE, CANCELLED }
+
+/** Empty body. */
+val EMPTY_BODY: ByteArray = ByteArray(0)
+
+/** Returns the first value of the header [name], or null. */
+fun List<HttpHeader>.valueOf(name: String): String? = firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+/** Returns a response with a JSON body. */
+fun jsonResponse(status: Int, json: String, headers: List<HttpHeader> = emptyList()): HttpResponse =
+    HttpResponse(status, headers + HttpHeader("Content-Type", "application/json"), json.encodeToByteArray())
+
+/** Returns a response with a plain text body. */
+fun textResponse(status: Int, text: String): HttpResponse =
+    HttpResponse(status, listOf(HttpHeader("Content-Type", "text/plain; charset=utf-8")), text.encodeToByteArray())
--- /dev/null
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -0,0 +1,149 @@
+package wigeonreel.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.util.ReferenceCountUtil
+import io.netty.handler.codec.http.HttpMessage as NettyHttpMessage
+
+/** Gathers request bodies up to a bound and answers larger ones with a typed refusal. */
+internal class RequestAggregator(
+    maxBodyBytes: Int,
+    private val handler: HttpHandler,
+) : HttpObjectAggregator(maxBodyBytes) {
+    override fun handleOversizedMessage(ctx: ChannelHandlerContext, oversized: NettyHttpMessage) {
+        ctx.writeAndFlush(toNetty(handler.reject(HttpFault.BODY_TOO_LARGE), close = true)).addListener(ChannelFutureListener.CLOSE)
+    }
+}
+
+/** One connection from a caller; pipelined requests wait until the earlier ones are answered. */
+internal class ServerConnection(
+    private val handler: HttpHandler,
+) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
+    private val waiting = ArrayDeque<FullHttpRequest>()
+    private var current: Exchange? = null
+
+    override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpRequest) {
+        if (waiting.size >= MAX_PIPELINED) {
+            message.release()
+            ctx.close()
+            return
+        }
+        waiting.addLast(message)
+        startNext(ctx)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        waiting.forEach { ReferenceCountUtil.release(it) }
+        waiting.clear()
+        current?.abort()
+        current = null
+    }
+
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is IdleStateEvent && current == null) ctx.close()
+    }
+
+    @Deprecated("Netty's signature")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        ctx.close()
+    }
+
+    private fun startNext(ctx: ChannelHandlerContext) {
+        if (current != null) return
+        val message = waiting.removeFirstOrNull() ?: return
+        val exchange = Exchange(ctx, message.toRequest(), HttpUtil.isKeepAlive(message))
+        val fault = faultOf(message)
+        message.release()
+        current = exchange
+        if (fault == null) handler.handle(exchange) else exchange.respond(handler.reject(fault), close = true)
+    }
+
+    private fun faultOf(message: FullHttpRequest): HttpFault? {
+        val result = message.decoderResult()
+        return when {
+            result.isSuccess -> null
+            result.cause() is TooLongHttpHeaderException || result.cause() is TooLongHttpLineException -> HttpFault.HEADERS_TOO_LARGE
+            else -> HttpFault.MALFORMED
+        }
+    }
+
+    private inner class Exchange(
+        private val ctx: ChannelHandlerContext,
+        override val request: HttpRequest,
+        private val keepAlive: Boolean,
+    ) : HttpExchange {
+        private var answered = false
+        private var onAbort: () -> Unit = {}
+
+        override fun respond(response: HttpResponse, close: Boolean) {
+            if (answered) return
+            answered = true
+            val last = close || !keepAlive
+            val written = ctx.writeAndFlush(toNetty(response, last))
+            if (last) written.addListener(ChannelFutureListener.CLOSE)
+            current = null
+            if (!last) startNext(ctx)
+        }
+
+        override fun onAbort(action: () -> Unit) {
+            onAbort = action
+        }
+
+        fun abort() {
+            if (answered) return
+            answered = true
+            onAbort()
+        }
+    }
+
+    private companion object {
+        const val MAX_PIPELINED = 16
+    }
+}
+
+private fun FullHttpRequest.toRequest() =
+    HttpRequest(
+        method().name(),
+        uri(),
+        headers().map {
+            HttpHeader(it.key, it.value)
+        },
+        ByteArray(content().readableBytes()).also { content().readBytes(it) },
+    )
+
+private fun toNetty(response: HttpResponse, close: Boolean): DefaultFullHttpResponse {
+    val status = HttpResponseStatus.valueOf(response.status)
+    val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body))
+    response.headers.filterNot { it.isHopByHop }.forEach { message.headers().add(it.name, it.value) }
+    message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
+    if (close) message.headers().set(HttpHeaderNames.CONNECTION, "close")
+    return message
+}
+
+private val HOP_BY_HOP =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    )
+
+/** Whether this header concerns one connection only and is not passed on. */
+val HttpHeader.isHopByHop: Boolean get() = name.lowercase() in HOP_BY_HOP
--- /dev/null
+++ b/load/src/main/kotlin/wigeonreel/load/LoadRun.kt
@@ -0,0 +1,136 @@
+package wigeonreel.load
+
+import io.netty.channel.nio.NioEventLoopGroup
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpHeader
+import wigeonreel.http.HttpRequest
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.HttpResult
+import wigeonreel.once.timeOrderedUuid
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** One run: callers of several accounts that send at their rate whatever comes back, and leave after their patience. */
+internal class LoadRun(
+    private val settings: LoadSettings,
+    private val loop: NioEventLoopGroup,
+    private val connector: HttpConnector,
+) {
+    private class Sender(
+        val account: LoadAccount,
+    ) {
+        var due = 0.0
+        var allowance = account.grantedPerSecond
+    }
+
+    private val random = Random(settings.seed)
+    private val senders = settings.accounts.map { Sender(it) }
+    private val startedMs = System.currentTimeMillis()
+    private val recorder = RunRecorder(settings, startedMs)
+    private val ended = CountDownLatch(1)
+    private var lastTickMs = startedMs
+    private var requests = 0L
+
+    /** Runs to the end and returns what was counted. */
+    fun run(): RunRecorder {
+        val ticking = loop.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        ended.await()
+        ticking.cancel(false)
+        Thread.sleep(settings.timeoutMs)
+        return recorder
+    }
+
+    private fun tick() {
+        val nowMs = System.currentTimeMillis()
+        val elapsedS = (nowMs - lastTickMs) / MS_PER_SECOND
+        lastTickMs = nowMs
+        if (nowMs - startedMs >= settings.seconds * MS_PER_SECOND) return ended.countDown()
+        for (sender in senders) {
+            sender.due += sender.account.sentPerSecond * surgeAt(nowMs) * elapsedS
+            sender.allowance = (sender.allowance + sender.account.grantedPerSecond * elapsedS).coerceAtMost(sender.account.grantedPerSecond)
+            while (sender.due >= 1.0) {
+                sender.due -= 1.0
+                send(sender, nowMs)
+            }
+        }
+    }
+
+    private fun surgeAt(nowMs: Long): Double {
+        val third = settings.seconds * MS_PER_SECOND / 3
+        return if (nowMs - startedMs in third.toLong()..(third * 2).toLong()) settings.surge else 1.0
+    }
+
+    private fun send(sender: Sender, nowMs: Long) {
+        val withinRate = sender.allowance >= 1.0
+        if (withinRate) sender.allowance -= 1.0
+        recorder.onSent(sender.account, nowMs)
+        val target = settings.targets[random.nextInt(settings.targets.size)]
+        val id = "${settings.seed}-${++requests}"
+        val key =
+            if (random.nextDouble() <
+                settings.bookShare
+            ) {
+                timeOrderedUuid(nowMs, random.nextLong(), random.nextLong()).toString()
+            } else {
+                null
+            }
+        attempt(sender.account, target, requestOf(sender.account, id, key), id, withinRate, nowMs)
+    }
+
+    private fun requestOf(account: LoadAccount, id: String, key: String?): HttpRequest {
+        val headers =
+            listOfNotNull(
+                HttpHeader("Wigeon-Key", account.key),
+                HttpHeader("Wigeon-Service", settings.service),
+                HttpHeader("Wigeon-Timeout-Ms", settings.timeoutMs.toString()),
+                HttpHeader("X-Request-Id", id),
+                key?.let { HttpHeader("Idempotency-Key", it) },
+            )
+        return HttpRequest(if (key == null) "GET" else "POST", if (key == null) "/lookup" else "/book", headers)
+    }
+
+    private fun attempt(
+        account: LoadAccount,
+        target: HttpAddress,
+        request: HttpRequest,
+        id: String,
+        withinRate: Boolean,
+        sentMs: Long,
+    ) {
+        val startedNs = System.nanoTime()
+        connector.send(target, request, settings.timeoutMs) { result ->
+            when (result) {
+                is HttpResult.Answer -> onAnswer(account, result.response, id, withinRate, sentMs, System.nanoTime() - startedNs)
+                is HttpResult.NotSent -> recorder.onRefused(account, "daemon-unreachable", withinRate)
+                is HttpResult.Lost -> recorder.onRefused(account, "no-answer", withinRate)
+            }
+        }
+    }
+
+    private fun onAnswer(
+        account: LoadAccount,
+        response: HttpResponse,
+        id: String,
+        withinRate: Boolean,
+        sentMs: Long,
+        elapsedNs: Long,
+    ) {
+        when {
+            response.header("Wigeon-Outcome") != null -> recorder.onRefused(account, kindOf(response), withinRate)
+            response.status != OK -> recorder.onRefused(account, "status-${response.status}", withinRate)
+            response.header("X-Request-Id") != id || response.body.isEmpty() -> recorder.onForeign()
+            else -> recorder.onWhole(account, sentMs, elapsedNs)
+        }
+    }
+
+    private fun kindOf(response: HttpResponse) = KIND.find(response.text)?.groupValues?.get(1) ?: "unknown"
+
+    private companion object {
+        const val TICK_MS = 2L
+        const val MS_PER_SECOND = 1_000.0
+        const val OK = 200
+        val KIND = Regex("\"kind\":\"([a-z-]+)\"")
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/wigeonreel/standin/Faults.kt
@@ -0,0 +1,23 @@
+package wigeonreel.standin
+
+import wigeonreel.http.HttpRequest
+
+/** Faults of the table service that a scenario turns on. */
+enum class StoreFault { NONE, OUTAGE, SLOW, LOSE_ANSWERS }
+
+/**
+ * Faults of one stand-in.
+ *
+ * @param delayMs delay of answers while the fault is [StoreFault.SLOW], in milliseconds.
+ */
+data class StoreFaults(
+    val fault: StoreFault = StoreFault.NONE,
+    val delayMs: Long = 2_000,
+)
+
+/** Reads the faults named in a request such as `/_fault?mode=slow&ms=500`; returns null when the mode is unknown. */
+fun parseStoreFaults(request: HttpRequest): StoreFaults? {
+    val mode = request.query("mode")?.uppercase()?.replace('-', '_')
+    val fault = StoreFault.entries.firstOrNull { it.name == mode } ?: return null
+    return StoreFaults(fault, request.query("ms")?.toLongOrNull() ?: StoreFaults().delayMs)
+}
