--- a/core/src/main/kotlin/wigeonreel/config/ConfigError.kt
+++ b/core/src/main/kotlin/wigeonreel/config/ConfigError.kt
@@ -8,7 +8,8 @@
     data class UnknownKind(
         val entry: String,
     ) : ConfigError {
-        override val message get() = "$entry: no such kind of entry; use account/, key/, service/ or rule/ and a name (home/ and seat/ are kept by the daemons)"
+        override val message
+            get() = "$entry: no such kind of entry; use account/, key/, service/ or rule/ and a name (home/ and seat/ are the daemons')"
     }
 
     /** The entry's value can't be read as its kind. */
