Carry forwarded requests on one stream a peer; grow limits until congestion

A profile showed gRPC's stream set-up and trailers as the largest part; strace showed a timer thread woken for each deadline.

The concurrency limit stayed near its cold start of 22 of 90 slots under 220 calls/s, since it only grew when half in use; it now grows with each good answer until the first congestion. A refusal counts as wrongful only when what was let in left the account a token.

--- a/core/src/main/kotlin/wigeonreel/admission/ConcurrencyLimit.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/ConcurrencyLimit.kt
@@ -3,8 +3,9 @@
 /**
  * Number of requests that a backend server is given at a time.
  *
- * It starts low on a cold server, grows while answers are good, shrinks when they are slow against the server's own
- * best time or when the server sheds, and never exceeds the server's declared slots.
+ * It starts low on a cold server and grows by one with each good answer until the first sign of congestion. It shrinks
+ * when answers are slow against the server's own best time while many run, or when the server sheds, and never exceeds
+ * the server's declared slots.
  *
  * @param slots requests that the server says it can run at a time.
  */
@@ -14,6 +15,7 @@
     private var limit = (slots * COLD_SHARE).coerceAtLeast(MIN_LIMIT)
     private var baseMs = Double.NaN
     private var recentMs = Double.NaN
+    private var slowStart = true
 
     /** Requests allowed at a time. */
     val current: Int get() = limit.toInt().coerceIn(1, slots.coerceAtLeast(1))
@@ -42,10 +44,12 @@
     private fun nextBase(elapsedMs: Double) = if (elapsedMs < baseMs) elapsedMs else baseMs + (elapsedMs - baseMs) * BASE_WEIGHT
 
     private fun grow() {
-        limit = (limit + GROWTH / limit * limit.coerceAtMost(GROWTH_CAP)).coerceAtMost(slots.toDouble())
+        val step = if (slowStart) 1.0 else GROWTH / limit
+        limit = (limit + step).coerceAtMost(slots.toDouble())
     }
 
     private fun shrink(factor: Double) {
+        slowStart = false
         limit = (limit * factor).coerceAtLeast(MIN_LIMIT.coerceAtMost(slots.toDouble()))
     }
 
@@ -58,7 +62,6 @@
         const val CONGESTED_SLACK_MS = 2.0
         const val SLOW_BACKOFF = 0.995
         const val SHED_BACKOFF = 0.9
-        const val GROWTH = 0.1
-        const val GROWTH_CAP = 4.0
+        const val GROWTH = 4.0
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
@@ -11,8 +11,11 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import wigeonreel.membership.PeerAddress
+import wigeonreel.wire.ForwardReply
+import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
 import java.net.ConnectException
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /** Why a call to a peer has no answer. */
@@ -30,22 +33,48 @@
     private val maxMessageBytes: Int,
 ) {
     private val channels = HashMap<PeerAddress, ManagedChannel>()
+    private val links = HashMap<PeerAddress, PeerLink>()
 
-    /** Makes one [call] to the peer at [address]; [onAnswer] gets the answer or the failure. Returns how to cancel it. */
+    /** Forwards a request to the peer at [address]; [onAnswer] gets the reply or the failure once. Returns how to cancel it. */
+    fun forward(
+        address: PeerAddress,
+        request: ForwardRequest,
+        timeoutMs: Long,
+        onAnswer: (ForwardReply?, PeerFailure?) -> Unit,
+    ): () -> Unit {
+        val known = links[address]
+        val link =
+            if (known != null &&
+                known.open
+            ) {
+                known
+            } else {
+                PeerLink(loop, PeerGrpc.newStub(channelTo(address)), ::failureOf).also { links[address] = it }
+            }
+        return link.forward(request, timeoutMs, onAnswer)
+    }
+
+    /**
+     * Makes one [call] to the peer at [address]; [onAnswer] gets the answer or the failure once, within [timeoutMs].
+     *
+     * The timeout runs on the event loop: gRPC's own deadlines wake a timer thread for each call, on both sides.
+     * Returns how to cancel the call.
+     */
     fun <R> call(
         address: PeerAddress,
         timeoutMs: Long,
         call: (PeerGrpc.PeerFutureStub) -> ListenableFuture<R>,
         onAnswer: (R?, PeerFailure?) -> Unit,
     ): () -> Unit {
-        val stub = PeerGrpc.newFutureStub(channelTo(address)).withDeadlineAfter(timeoutMs, TimeUnit.MILLISECONDS)
-        val future = call(stub)
-        Futures.addCallback(future, callback(onAnswer), MoreExecutors.directExecutor())
+        val future = call(PeerGrpc.newFutureStub(channelTo(address)))
+        val timer = loop.schedule({ future.cancel(true) }, timeoutMs, TimeUnit.MILLISECONDS)
+        Futures.addCallback(future, callback(timer, onAnswer), MoreExecutors.directExecutor())
         return { future.cancel(true) }
     }
 
     /** Closes the connections to peers that are not in [known]. */
     fun retain(known: Set<PeerAddress>) {
+        links.entries.removeIf { (address, link) -> (address !in known).also { if (it) link.close() } }
         channels.entries.removeIf { (address, channel) -> (address !in known).also { if (it) channel.shutdown() } }
     }
 
@@ -62,16 +91,23 @@
                 .directExecutor()
                 .usePlaintext()
                 .maxInboundMessageSize(maxMessageBytes)
+                .flowControlWindow(FLOW_WINDOW_BYTES)
                 .idleTimeout(IDLE_S, TimeUnit.SECONDS)
                 .disableRetry()
                 .build()
         }
 
-    private fun <R> callback(onAnswer: (R?, PeerFailure?) -> Unit) =
+    private fun <R> callback(timer: Future<*>, onAnswer: (R?, PeerFailure?) -> Unit) =
         object : FutureCallback<R> {
-            override fun onSuccess(result: R) = onAnswer(result, null)
+            override fun onSuccess(result: R) {
+                timer.cancel(false)
+                onAnswer(result, null)
+            }
 
-            override fun onFailure(cause: Throwable) = onAnswer(null, failureOf(cause))
+            override fun onFailure(cause: Throwable) {
+                timer.cancel(false)
+                onAnswer(null, failureOf(cause))
+            }
         }
 
     /** Only a failed connection attempt proves that nothing was sent. */
@@ -83,6 +119,7 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000
+        const val FLOW_WINDOW_BYTES = 8 * 1024 * 1024
         const val IDLE_S = 60L
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -17,6 +17,7 @@
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
+import wigeonreel.wire.RequestFrame
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -57,6 +58,7 @@
                 .channelType(NioServerSocketChannel::class.java)
                 .directExecutor()
                 .maxInboundMessageSize(maxMessageBytes)
+                .flowControlWindow(FLOW_WINDOW_BYTES)
                 .addService(PeerCalls(handler))
                 .build()
                 .start()
@@ -67,6 +69,7 @@
     }
 
     private companion object {
+        const val FLOW_WINDOW_BYTES = 8 * 1024 * 1024
         const val STOP_MS = 500L
     }
 }
@@ -74,12 +77,8 @@
 private class PeerCalls(
     private val handler: PeerHandler,
 ) : PeerGrpc.PeerImplBase() {
-    override fun forward(request: ForwardRequest, responses: StreamObserver<ForwardReply>) {
-        val observer = responses as ServerCallStreamObserver<ForwardReply>
-        var cancel: () -> Unit = {}
-        observer.setOnCancelHandler { cancel() }
-        cancel = handler.forward(request) { reply -> if (!observer.isCancelled) complete(observer, reply) }
-    }
+    override fun exchange(responses: StreamObserver<ForwardReply>): StreamObserver<RequestFrame> =
+        ForwardExchange(handler, responses as ServerCallStreamObserver<ForwardReply>)
 
     override fun block(request: BlockRequest, responses: StreamObserver<BlockReply>) = complete(responses, handler.block(request))
 
@@ -96,3 +95,49 @@
         responses.onCompleted()
     }
 }
+
+/** One long stream of requests from another daemon; replies go back as they come. */
+private class ForwardExchange(
+    private val handler: PeerHandler,
+    private val responses: ServerCallStreamObserver<ForwardReply>,
+) : StreamObserver<RequestFrame> {
+    private val running = HashMap<String, () -> Unit>()
+    private var open = true
+
+    init {
+        responses.setOnCancelHandler { end() }
+    }
+
+    override fun onNext(frame: RequestFrame) {
+        when (frame.frameCase) {
+            RequestFrame.FrameCase.FORWARD -> forward(frame.forward)
+            RequestFrame.FrameCase.CANCEL_ATTEMPT_ID -> running.remove(frame.cancelAttemptId)?.invoke()
+            RequestFrame.FrameCase.FRAME_NOT_SET, null -> Unit
+        }
+    }
+
+    override fun onError(cause: Throwable) = end()
+
+    override fun onCompleted() {
+        end()
+        responses.onCompleted()
+    }
+
+    private fun forward(request: ForwardRequest) {
+        var answered = false
+        val cancel =
+            handler.forward(request) { reply ->
+                answered = true
+                running.remove(request.attemptId)
+                if (open && !responses.isCancelled) responses.onNext(reply)
+            }
+        if (!answered) running[request.attemptId] = cancel
+    }
+
+    private fun end() {
+        open = false
+        val left = running.values.toList()
+        running.clear()
+        left.forEach { it() }
+    }
+}
--- a/daemon/src/main/kotlin/wigeonreel/traffic/Dispatcher.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/Dispatcher.kt
@@ -126,7 +126,7 @@
         }
 
         private fun forwardToPeer(member: Member, message: ForwardRequest, handedDown: Int): () -> Unit =
-            peers.call(member.address, message.timeoutMs + REPLY_MARGIN_MS, { it.forward(message) }) { reply, failure ->
+            peers.forward(member.address, message, message.timeoutMs + REPLY_MARGIN_MS) { reply, failure ->
                 if (reply != null) onReply(member, message, handedDown, reply) else onNoReply(member, handedDown, failure!!)
             }
 
--- a/load/src/main/kotlin/wigeonreel/load/LoadRun.kt
+++ b/load/src/main/kotlin/wigeonreel/load/LoadRun.kt
@@ -63,8 +63,7 @@
     }
 
     private fun send(sender: Sender, nowMs: Long) {
-        val withinRate = sender.allowance >= 1.0
-        if (withinRate) sender.allowance -= 1.0
+        sender.allowance -= 1.0
         recorder.onSent(sender.account, nowMs)
         val target = settings.targets[random.nextInt(settings.targets.size)]
         val id = "${settings.seed}-${++requests}"
@@ -76,7 +75,7 @@
             } else {
                 null
             }
-        attempt(sender.account, target, requestOf(sender.account, id, key), id, withinRate, nowMs)
+        attempt(sender, target, requestOf(sender.account, id, key), id, nowMs)
     }
 
     private fun requestOf(account: LoadAccount, id: String, key: String?): HttpRequest {
@@ -92,39 +91,44 @@
     }
 
     private fun attempt(
-        account: LoadAccount,
+        sender: Sender,
         target: HttpAddress,
         request: HttpRequest,
         id: String,
-        withinRate: Boolean,
         sentMs: Long,
     ) {
         val startedNs = System.nanoTime()
         connector.send(target, request, settings.timeoutMs) { result ->
             when (result) {
-                is HttpResult.Answer -> onAnswer(account, result.response, id, withinRate, sentMs, System.nanoTime() - startedNs)
-                is HttpResult.NotSent -> recorder.onRefused(account, "daemon-unreachable", withinRate)
-                is HttpResult.Lost -> recorder.onRefused(account, "no-answer", withinRate)
+                is HttpResult.Answer -> onAnswer(sender, result.response, id, sentMs, System.nanoTime() - startedNs)
+                is HttpResult.NotSent -> recorder.onRefused(sender.account, "daemon-unreachable", wrongful = false)
+                is HttpResult.Lost -> recorder.onRefused(sender.account, "no-answer", wrongful = false)
             }
         }
     }
 
     private fun onAnswer(
-        account: LoadAccount,
+        sender: Sender,
         response: HttpResponse,
         id: String,
-        withinRate: Boolean,
         sentMs: Long,
         elapsedNs: Long,
     ) {
         when {
-            response.header("Wigeon-Outcome") != null -> recorder.onRefused(account, kindOf(response), withinRate)
-            response.status != OK -> recorder.onRefused(account, "status-${response.status}", withinRate)
+            response.header("Wigeon-Outcome") != null -> onRefused(sender, kindOf(response))
+            response.status != OK -> recorder.onRefused(sender.account, "status-${response.status}", wrongful = false)
             response.header("X-Request-Id") != id || response.body.isEmpty() -> recorder.onForeign()
-            else -> recorder.onWhole(account, sentMs, elapsedNs)
+            else -> recorder.onWhole(sender.account, sentMs, elapsedNs)
         }
     }
 
+    /** A refusal as over the rate is wrongful when the requests that were let in left the account a token. */
+    private fun onRefused(sender: Sender, kind: String) {
+        val overRate = kind == RunRecorder.OVER_RATE
+        recorder.onRefused(sender.account, kind, wrongful = overRate && sender.allowance >= 0.0)
+        if (overRate) sender.allowance += 1.0
+    }
+
     private fun kindOf(response: HttpResponse) = KIND.find(response.text)?.groupValues?.get(1) ?: "unknown"
 
     private companion object {
--- a/load/src/main/kotlin/wigeonreel/load/RunRecorder.kt
+++ b/load/src/main/kotlin/wigeonreel/load/RunRecorder.kt
@@ -36,10 +36,10 @@
         foreign++
     }
 
-    fun onRefused(account: LoadAccount, kind: String, withinRate: Boolean) {
+    fun onRefused(account: LoadAccount, kind: String, wrongful: Boolean) {
         val counted = byAccount.getValue(account.name)
         counted.refused.merge(kind, 1, Long::plus)
-        if (withinRate && kind == OVER_RATE) counted.wrongful++
+        if (wrongful) counted.wrongful++
     }
 
     fun report(doubleRuns: Long, keysSeen: Long): LoadReport {
--- a/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
@@ -18,35 +18,35 @@
   public static final java.lang.String SERVICE_NAME = "wigeonreel.wire.Peer";
 
   // Static method descriptors that strictly reflect the proto.
-  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.ForwardRequest,
-      wigeonreel.wire.ForwardReply> getForwardMethod;
+  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.RequestFrame,
+      wigeonreel.wire.ForwardReply> getExchangeMethod;
 
   @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "Forward",
-      requestType = wigeonreel.wire.ForwardRequest.class,
+      fullMethodName = SERVICE_NAME + '/' + "Exchange",
+      requestType = wigeonreel.wire.RequestFrame.class,
       responseType = wigeonreel.wire.ForwardReply.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
-  public static io.grpc.MethodDescriptor<wigeonreel.wire.ForwardRequest,
-      wigeonreel.wire.ForwardReply> getForwardMethod() {
-    io.grpc.MethodDescriptor<wigeonreel.wire.ForwardRequest, wigeonreel.wire.ForwardReply> getForwardMethod;
-    if ((getForwardMethod = PeerGrpc.getForwardMethod) == null) {
+      methodType = io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
+  public static io.grpc.MethodDescriptor<wigeonreel.wire.RequestFrame,
+      wigeonreel.wire.ForwardReply> getExchangeMethod() {
+    io.grpc.MethodDescriptor<wigeonreel.wire.RequestFrame, wigeonreel.wire.ForwardReply> getExchangeMethod;
+    if ((getExchangeMethod = PeerGrpc.getExchangeMethod) == null) {
       synchronized (PeerGrpc.class) {
-        if ((getForwardMethod = PeerGrpc.getForwardMethod) == null) {
-          PeerGrpc.getForwardMethod = getForwardMethod =
-              io.grpc.MethodDescriptor.<wigeonreel.wire.ForwardRequest, wigeonreel.wire.ForwardReply>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Forward"))
+        if ((getExchangeMethod = PeerGrpc.getExchangeMethod) == null) {
+          PeerGrpc.getExchangeMethod = getExchangeMethod =
+              io.grpc.MethodDescriptor.<wigeonreel.wire.RequestFrame, wigeonreel.wire.ForwardReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Exchange"))
               .setSampledToLocalTracing(true)
               .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  wigeonreel.wire.ForwardRequest.getDefaultInstance()))
+                  wigeonreel.wire.RequestFrame.getDefaultInstance()))
               .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
                   wigeonreel.wire.ForwardReply.getDefaultInstance()))
-              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Forward"))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Exchange"))
               .build();
         }
       }
     }
-    return getForwardMethod;
+    return getExchangeMethod;
   }
 
   private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.BlockRequest,
@@ -226,12 +226,13 @@
 
     /**
      * <pre>
-     * Runs one request on the backend server beside the receiving daemon.
+     * Runs requests on the backend server beside the receiving daemon. One long stream carries all requests between two
+     * daemons; replies come in any order and name the attempt that they answer.
      * </pre>
      */
-    default void forward(wigeonreel.wire.ForwardRequest request,
+    default io.grpc.stub.StreamObserver<wigeonreel.wire.RequestFrame> exchange(
         io.grpc.stub.StreamObserver<wigeonreel.wire.ForwardReply> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getForwardMethod(), responseObserver);
+      return io.grpc.stub.ServerCalls.asyncUnimplementedStreamingCall(getExchangeMethod(), responseObserver);
     }
 
     /**
@@ -310,13 +311,14 @@
 
     /**
      * <pre>
-     * Runs one request on the backend server beside the receiving daemon.
+     * Runs requests on the backend server beside the receiving daemon. One long stream carries all requests between two
+     * daemons; replies come in any order and name the attempt that they answer.
      * </pre>
      */
-    public void forward(wigeonreel.wire.ForwardRequest request,
+    public io.grpc.stub.StreamObserver<wigeonreel.wire.RequestFrame> exchange(
         io.grpc.stub.StreamObserver<wigeonreel.wire.ForwardReply> responseObserver) {
-      io.grpc.stub.ClientCalls.asyncUnaryCall(
-          getChannel().newCall(getForwardMethod(), getCallOptions()), request, responseObserver);
+      return io.grpc.stub.ClientCalls.asyncBidiStreamingCall(
+          getChannel().newCall(getExchangeMethod(), getCallOptions()), responseObserver);
     }
 
     /**
@@ -383,16 +385,6 @@
       return new PeerBlockingStub(channel, callOptions);
     }
 
-    /**
-     * <pre>
-     * Runs one request on the backend server beside the receiving daemon.
-     * </pre>
-     */
-    public wigeonreel.wire.ForwardReply forward(wigeonreel.wire.ForwardRequest request) {
-      return io.grpc.stub.ClientCalls.blockingUnaryCall(
-          getChannel(), getForwardMethod(), getCallOptions(), request);
-    }
-
     /**
      * <pre>
      * Asks a former home of an idempotency key to block it or to tell its outcome.
@@ -453,17 +445,6 @@
       return new PeerFutureStub(channel, callOptions);
     }
 
-    /**
-     * <pre>
-     * Runs one request on the backend server beside the receiving daemon.
-     * </pre>
-     */
-    public com.google.common.util.concurrent.ListenableFuture<wigeonreel.wire.ForwardReply> forward(
-        wigeonreel.wire.ForwardRequest request) {
-      return io.grpc.stub.ClientCalls.futureUnaryCall(
-          getChannel().newCall(getForwardMethod(), getCallOptions()), request);
-    }
-
     /**
      * <pre>
      * Asks a former home of an idempotency key to block it or to tell its outcome.
@@ -509,11 +490,11 @@
     }
   }
 
-  private static final int METHODID_FORWARD = 0;
-  private static final int METHODID_BLOCK = 1;
-  private static final int METHODID_BORROW = 2;
-  private static final int METHODID_FETCH_CONFIG = 3;
-  private static final int METHODID_OFFER_CONFIG = 4;
+  private static final int METHODID_BLOCK = 0;
+  private static final int METHODID_BORROW = 1;
+  private static final int METHODID_FETCH_CONFIG = 2;
+  private static final int METHODID_OFFER_CONFIG = 3;
+  private static final int METHODID_EXCHANGE = 4;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -532,10 +513,6 @@
     @java.lang.SuppressWarnings("unchecked")
     public void invoke(Req request, io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
-        case METHODID_FORWARD:
-          serviceImpl.forward((wigeonreel.wire.ForwardRequest) request,
-              (io.grpc.stub.StreamObserver<wigeonreel.wire.ForwardReply>) responseObserver);
-          break;
         case METHODID_BLOCK:
           serviceImpl.block((wigeonreel.wire.BlockRequest) request,
               (io.grpc.stub.StreamObserver<wigeonreel.wire.BlockReply>) responseObserver);
@@ -562,6 +539,9 @@
     public io.grpc.stub.StreamObserver<Req> invoke(
         io.grpc.stub.StreamObserver<Resp> responseObserver) {
       switch (methodId) {
+        case METHODID_EXCHANGE:
+          return (io.grpc.stub.StreamObserver<Req>) serviceImpl.exchange(
+              (io.grpc.stub.StreamObserver<wigeonreel.wire.ForwardReply>) responseObserver);
         default:
           throw new AssertionError();
       }
@@ -571,12 +551,12 @@
   public static final io.grpc.ServerServiceDefinition bindService(AsyncService service) {
     return io.grpc.ServerServiceDefinition.builder(getServiceDescriptor())
         .addMethod(
-          getForwardMethod(),
-          io.grpc.stub.ServerCalls.asyncUnaryCall(
+          getExchangeMethod(),
+          io.grpc.stub.ServerCalls.asyncBidiStreamingCall(
             new MethodHandlers<
-              wigeonreel.wire.ForwardRequest,
+              wigeonreel.wire.RequestFrame,
               wigeonreel.wire.ForwardReply>(
-                service, METHODID_FORWARD)))
+                service, METHODID_EXCHANGE)))
         .addMethod(
           getBlockMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
@@ -653,7 +633,7 @@
         if (result == null) {
           serviceDescriptor = result = io.grpc.ServiceDescriptor.newBuilder(SERVICE_NAME)
               .setSchemaDescriptor(new PeerFileDescriptorSupplier())
-              .addMethod(getForwardMethod())
+              .addMethod(getExchangeMethod())
               .addMethod(getBlockMethod())
               .addMethod(getBorrowMethod())
               .addMethod(getFetchConfigMethod())
