--- a/core/src/main/kotlin/wigeonreel/limit/AccountLoans.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/AccountLoans.kt
@@ -1,5 +1,11 @@
 package wigeonreel.limit
 
+/** Holders of an account's shares: those in the daemon's own region, and the others. */
+data class Holders(val near: List<String>, val far: List<String>) {
+    /** All holders, near ones first. */
+    val all: List<String> get() = near + far
+}
+
 /** Loan request to be sent to [holder]. */
 data class LoanAsk(
     val holder: String,
@@ -34,12 +40,16 @@
     fun spendForWaiting(nowMs: Long): Boolean = book.trySpend(nowMs)
 
     /** Returns a request to send now because the tokens at hand run low, or null. */
-    fun askAhead(holders: List<String>, nowMs: Long): LoanAsk? = if (book.runsLow(nowMs)) ask(holders, nowMs) else null
+    fun askAhead(holders: Holders, nowMs: Long): LoanAsk? = if (book.runsLow(nowMs)) ask(holders, nowMs) else null
 
-    /** Returns a request to the first of [holders] that may have tokens, or null when none may. */
-    fun ask(holders: List<String>, nowMs: Long): LoanAsk? {
+    /**
+     * Returns a request to one of [holders] that may have tokens, near ones first, or null when none may.
+     *
+     * The holder that has the most to learn about spent tokens goes first, since reports free its share.
+     */
+    fun ask(holders: Holders, nowMs: Long): LoanAsk? {
         if (asking) return null
-        val holder = holders.firstOrNull { (askAgainAtMs[it] ?: 0) <= nowMs } ?: return null
+        val holder = choose(holders.near, nowMs) ?: choose(holders.far, nowMs) ?: return null
         val loan = book.ask(nowMs)
         pending[loan.loanId] = holder
         return LoanAsk(holder, LoanRequest(borrower, loan.loanId, loan.wanted, book.reports(holder, nowMs)))
@@ -59,8 +69,11 @@
     }
 
     /** Returns the time until a holder may have tokens again, in milliseconds. */
-    fun waitMs(holders: List<String>, nowMs: Long): Long =
-        holders.minOfOrNull { ((askAgainAtMs[it] ?: 0) - nowMs).coerceAtLeast(0) } ?: LOST_WAIT_MS
+    fun waitMs(holders: Holders, nowMs: Long): Long =
+        holders.all.minOfOrNull { ((askAgainAtMs[it] ?: 0) - nowMs).coerceAtLeast(0) } ?: LOST_WAIT_MS
+
+    private fun choose(holders: List<String>, nowMs: Long): String? =
+        holders.filter { (askAgainAtMs[it] ?: 0) <= nowMs }.maxByOrNull { book.unreported(it) }
 
     private companion object {
         const val MIN_WAIT_MS = 5
--- a/core/src/main/kotlin/wigeonreel/limit/LimitPolicy.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/LimitPolicy.kt
@@ -10,8 +10,8 @@
  * @param settleMs time before a new share starts to fill, in which the former holder's loans lapse.
  */
 data class LimitPolicy(
-    val loanMs: Long = 1_000,
-    val marginMs: Long = 200,
+    val loanMs: Long = 300,
+    val marginMs: Long = 50,
     val tenureMs: Long = 7_200_000,
     val clockMarginMs: Long = 5_000,
     val settleMs: Long = 3_000,
--- a/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
@@ -23,13 +23,9 @@
     private val loanMs: Long,
     firstLoanId: Long,
 ) {
-    private class Held(
-        val loanId: Long,
-        val holder: String,
-        val tokens: Int,
-        var spent: Int,
-        val endsAtMs: Long,
-    )
+    private class Held(val loanId: Long, val holder: String, val tokens: Int, var spent: Int, val endsAtMs: Long) {
+        var reported = 0
+    }
 
     private val held = ArrayDeque<Held>()
     private val asked = HashMap<Long, Long>()
@@ -80,9 +76,13 @@
         asked.remove(loanId)
     }
 
+    /** Returns the tokens of loans by [holder] that were spent since its last report. */
+    fun unreported(holder: String): Int = held.sumOf { if (it.holder == holder) it.spent - it.reported else 0 }
+
     /** Returns the reports for [holder] and forgets loans that are used up or over. */
     fun reports(holder: String, nowMs: Long): List<LoanReport> {
         val reports = held.filter { it.holder == holder }.map { LoanReport(it.loanId, it.spent, it.over(nowMs)) }
+        held.forEach { if (it.holder == holder) it.reported = it.spent }
         held.removeIf { it.holder == holder && it.over(nowMs) }
         return reports
     }
--- a/core/src/main/kotlin/wigeonreel/once/ExecutionRecords.kt
+++ b/core/src/main/kotlin/wigeonreel/once/ExecutionRecords.kt
@@ -44,6 +44,9 @@
     /** The former home has not run the key and never will. */
     data object Blocked : BlockAnswer<Nothing>
 
+    /** The former home found that no home ran the key and told a caller so; none may run it any more. */
+    data object Spent : BlockAnswer<Nothing>
+
     /** The former home is running the key. */
     data object Running : BlockAnswer<Nothing>
 
@@ -75,7 +78,7 @@
         data class Asking(
             val attemptId: String,
             val waiting: Set<String>,
-            val allBlocked: Boolean,
+            val before: Blocked?,
         ) : State<Nothing>
 
         data object Running : State<Nothing>
@@ -84,7 +87,11 @@
             val outcome: O,
         ) : State<O>
 
-        data object Blocked : State<Nothing>
+        /** No home ran the key, and a caller was told so. */
+        data object Spent : State<Nothing>
+
+        /** Blocked for a home of the home set [version]. */
+        data class Blocked(val version: Long) : State<Nothing>
     }
 
     private class Record<O>(
@@ -131,20 +138,25 @@
         if (asking.attemptId != attempt.attemptId || from !in asking.waiting) return null
         return when (answer) {
             BlockAnswer.Blocked -> afterBlocked(record, asking, from)
+            BlockAnswer.Spent -> spend(record)
             BlockAnswer.Running -> giveUp(attempt, Refusal.STILL_RUNNING)
             BlockAnswer.Unknown -> giveUp(attempt, Refusal.HOME_UNREACHABLE)
             is BlockAnswer.Done -> keep(record, answer.outcome)
         }
     }
 
-    /** Answers another home that asks this one to block a key; from then on this daemon never runs the key. */
-    fun block(account: String, key: IdempotencyKey): BlockAnswer<O> {
+    /**
+     * Answers another home that asks this one to block a key; from then on this daemon never runs the key.
+     *
+     * @param askerVersion version of the home set by which the asking daemon is the home.
+     */
+    fun block(account: String, key: IdempotencyKey, askerVersion: Long): BlockAnswer<O> {
         val id = RecordId(account, key.text)
         return when (val state = records[id]?.state) {
             State.Running -> BlockAnswer.Running
+            State.Spent -> BlockAnswer.Spent
             is State.Done -> BlockAnswer.Done(state.outcome)
-            State.Blocked -> BlockAnswer.Blocked
-            is State.Asking, null -> blockUnrun(id, key)
+            is State.Blocked, is State.Asking, null -> blockUnrun(id, key, askerVersion)
         }
     }
 
@@ -167,51 +179,54 @@
         refusedAttempts.values.removeIf { it < nowMs }
     }
 
+    /** Records and their loss decide first, so that a doubled message of an attempt that ran is never called not run. */
     private fun decide(attempt: Attempt<O>, nowMs: Long): OnceDecision<O> {
         val key = attempt.key
         val record = records[attempt.recordId]
         return when {
-            attempt.expiresAtMs + policy.clockMarginMs <= nowMs -> refuse(Refusal.DEADLINE_PASSED)
+            record != null && record.state !is State.Blocked -> decideRecorded(record, attempt)
+            record == null && mayBeLost(key) -> refuse(Refusal.RECORD_LOST)
             key.issuedAtMs > nowMs + policy.clockMarginMs -> refuse(Refusal.IDEMPOTENCY_KEY_FROM_FUTURE)
             key.issuedAtMs < nowMs - policy.windowMs -> refuse(Refusal.IDEMPOTENCY_KEY_TOO_OLD)
-            record == null || record.state == State.Blocked -> decideUnrecorded(attempt, record, nowMs)
-            record.fingerprint != attempt.fingerprint -> refuse(Refusal.IDEMPOTENCY_KEY_REUSED)
-            else -> decideRecorded(record.state)
+            attempt.expiresAtMs + policy.clockMarginMs <= nowMs -> refuse(Refusal.DEADLINE_PASSED)
+            else -> decideUnrecorded(attempt, record, nowMs)
         }
     }
 
-    private fun decideRecorded(state: State<O>): OnceDecision<O> =
-        when (state) {
+    private fun decideRecorded(record: Record<O>, attempt: Attempt<O>): OnceDecision<O> {
+        if (record.fingerprint != attempt.fingerprint) return refuse(Refusal.IDEMPOTENCY_KEY_REUSED)
+        return when (val state = record.state) {
             is State.Done -> OnceDecision.Kept(state.outcome)
             State.Running, is State.Asking -> refuse(Refusal.STILL_RUNNING)
-            State.Blocked -> refuse(Refusal.HOME_NOT_CURRENT)
+            State.Spent -> refuse(Refusal.IDEMPOTENCY_KEY_SPENT)
+            is State.Blocked -> refuse(Refusal.HOME_NOT_CURRENT)
         }
+    }
 
     private fun decideUnrecorded(attempt: Attempt<O>, record: Record<O>?, nowMs: Long): OnceDecision<O> {
         val binding = attempt.key.binding
-        if (binding != null) return decideMinted(attempt, binding, record)
+        if (binding != null) return decideMinted(attempt, binding)
         val set = homeSet
         return when {
             set == null || nowMs - provenAtMs >= policy.tenureMs -> refuse(Refusal.HOME_NOT_CURRENT)
             set.current.homeOf(attempt.key.text) != self -> refuse(Refusal.HOME_NOT_CURRENT)
-            record == null && lostWithRestart(attempt.key) -> refuse(Refusal.RECORD_LOST)
             else -> askOrRun(attempt, set, record)
         }
     }
 
-    private fun decideMinted(attempt: Attempt<O>, binding: HomeBinding, record: Record<O>?): OnceDecision<O> =
+    private fun decideMinted(attempt: Attempt<O>, binding: HomeBinding): OnceDecision<O> =
         when {
             binding.home != self -> refuse(Refusal.HOME_NOT_CURRENT)
-            binding.incarnation != incarnation -> refuse(Refusal.RECORD_LOST)
-            record != null -> refuse(Refusal.IDEMPOTENCY_KEY_SPENT)
             else -> run(attempt)
         }
 
+    /** A key blocked for a home of a later version may be running there, which only that version or a later one tells. */
     private fun askOrRun(attempt: Attempt<O>, set: HomeSet, record: Record<O>?): OnceDecision<O> {
+        val blocked = record?.state as? State.Blocked
+        if (blocked != null && blocked.version >= set.current.version) return refuse(Refusal.HOME_NOT_CURRENT)
         val others = set.formerHomes(attempt.key, policy) - self
-        if (others.isEmpty()) return if (record == null) run(attempt) else refuse(Refusal.IDEMPOTENCY_KEY_SPENT)
-        val asking = State.Asking(attempt.attemptId, others, allBlocked = record != null)
-        records[attempt.recordId] = Record(attempt.key, attempt.fingerprint, asking)
+        if (others.isEmpty()) return if (record == null) run(attempt) else spend(record)
+        records[attempt.recordId] = Record(attempt.key, attempt.fingerprint, State.Asking(attempt.attemptId, others, blocked))
         return OnceDecision.Ask(others)
     }
 
@@ -221,13 +236,20 @@
             record.state = asking.copy(waiting = waiting)
             return null
         }
-        record.state = if (asking.allBlocked) State.Blocked else State.Running
-        return if (asking.allBlocked) refuse(Refusal.IDEMPOTENCY_KEY_SPENT) else OnceDecision.Run
+        if (asking.before != null) return spend(record)
+        record.state = State.Running
+        return OnceDecision.Run
+    }
+
+    /** Later homes learn from this record that the key is spent. */
+    private fun spend(record: Record<O>): OnceDecision<O> {
+        record.state = State.Spent
+        return refuse(Refusal.IDEMPOTENCY_KEY_SPENT)
     }
 
     private fun giveUp(attempt: Attempt<O>, refusal: Refusal): OnceDecision<O> {
-        val wasBlocked = (records[attempt.recordId]?.state as? State.Asking)?.allBlocked == true
-        if (wasBlocked) records.getValue(attempt.recordId).state = State.Blocked else records.remove(attempt.recordId)
+        val before = (records[attempt.recordId]?.state as? State.Asking)?.before
+        if (before != null) records.getValue(attempt.recordId).state = before else records.remove(attempt.recordId)
         return OnceDecision.Refuse(refusal).also { rememberRefused(attempt, it) }
     }
 
@@ -236,10 +258,12 @@
         return OnceDecision.Kept(outcome)
     }
 
-    private fun blockUnrun(id: RecordId, key: IdempotencyKey): BlockAnswer<O> {
-        val known = id in records
-        if (!known && (key.binding != null || lostWithRestart(key))) return BlockAnswer.Unknown
-        records[id] = Record(key, fingerprint = 0, State.Blocked)
+    private fun blockUnrun(id: RecordId, key: IdempotencyKey, askerVersion: Long): BlockAnswer<O> {
+        val state = records[id]?.state
+        if (state == null && (key.binding != null || lostWithRestart(key))) return BlockAnswer.Unknown
+        val before = state as? State.Blocked ?: (state as? State.Asking)?.before
+        val version = maxOf(askerVersion, before?.version ?: 0)
+        records[id] = Record(key, fingerprint = 0, State.Blocked(version))
         return BlockAnswer.Blocked
     }
 
@@ -250,6 +274,12 @@
 
     private fun lostWithRestart(key: IdempotencyKey) = key.issuedAtMs < startedAtMs + policy.clockMarginMs
 
+    /** A minted key names the incarnation that may have run it; for others the issue time tells. */
+    private fun mayBeLost(key: IdempotencyKey): Boolean {
+        val binding = key.binding ?: return lostWithRestart(key)
+        return binding.home == self && binding.incarnation != incarnation
+    }
+
     private fun rememberRefused(attempt: Attempt<O>, decision: OnceDecision.Refuse) {
         if (decision.refusal.ran == Ran.NOT_RUN) {
             refusedAttempts[attempt.attemptId] = attempt.expiresAtMs + policy.clockMarginMs
--- a/daemon/src/main/kotlin/wigeonreel/traffic/HomeService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/HomeService.kt
@@ -55,7 +55,7 @@
     /** Answers another home that asks to block a key. */
     fun block(request: BlockRequest): BlockReply {
         val key = parseIdempotencyKey(request.key).getOrNull()
-        val answer = if (key == null) BlockAnswer.Unknown else records.block(request.account, key)
+        val answer = if (key == null) BlockAnswer.Unknown else records.block(request.account, key, request.homeSetVersion)
         log.decision { "block key=${request.key} account=${request.account} answer=${answer.javaClass.simpleName}" }
         return answer.toWire()
     }
@@ -101,6 +101,7 @@
                 .setService(request.service)
                 .setAccount(request.account)
                 .setKey(request.idempotencyKey)
+                .setHomeSetVersion(records.homeSetVersion)
                 .build()
         peers.call(member.address, ASK_TIMEOUT_MS, { it.block(question) }) { reply, _ -> answered(reply?.toCore() ?: BlockAnswer.Unknown) }
     }
@@ -118,6 +119,7 @@
     private fun BlockAnswer<ForwardReply>.toWire(): BlockReply =
         when (this) {
             BlockAnswer.Blocked -> BlockReply.newBuilder().setState(BlockState.BLOCKED).build()
+            BlockAnswer.Spent -> BlockReply.newBuilder().setState(BlockState.SPENT).build()
             BlockAnswer.Running -> BlockReply.newBuilder().setState(BlockState.SEEN_RUNNING).build()
             BlockAnswer.Unknown -> BlockReply.newBuilder().setState(BlockState.RECORD_LOST).build()
             is BlockAnswer.Done ->
@@ -131,6 +133,7 @@
     private fun BlockReply.toCore(): BlockAnswer<ForwardReply> =
         when (state) {
             BlockState.BLOCKED -> BlockAnswer.Blocked
+            BlockState.SPENT -> BlockAnswer.Spent
             BlockState.SEEN_RUNNING -> BlockAnswer.Running
             BlockState.SEEN_DONE -> BlockAnswer.Done(outcome)
             BlockState.RECORD_LOST, BlockState.UNRECOGNIZED, null -> BlockAnswer.Unknown
--- a/daemon/src/main/kotlin/wigeonreel/traffic/LimitService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/LimitService.kt
@@ -6,6 +6,7 @@
 import wigeonreel.kernel.Log
 import wigeonreel.kernel.Service
 import wigeonreel.limit.AccountLoans
+import wigeonreel.limit.Holders
 import wigeonreel.limit.LimitPolicy
 import wigeonreel.limit.Loan
 import wigeonreel.limit.LoanAsk
@@ -38,7 +39,7 @@
 
     private class Borrowing(
         val loans: AccountLoans,
-        var holders: List<String>,
+        var holders: Holders,
         var version: Long,
     ) {
         val waiting = ArrayDeque<Waiting>()
@@ -98,7 +99,7 @@
         val ask = borrowing.loans.ask(borrowing.holders, nowMs)
         if (ask != null) return send(account, borrowing, ask)
         val waitMs = borrowing.loans.waitMs(borrowing.holders, nowMs)
-        if (borrowing.holders.isEmpty() || waitMs > MAX_WAIT_MS) return refuseWaiting(borrowing)
+        if (borrowing.holders.all.isEmpty() || waitMs > MAX_WAIT_MS) return refuseWaiting(borrowing)
         loop.schedule({ retryWaiting(account, borrowing) }, waitMs.coerceAtLeast(1), TimeUnit.MILLISECONDS)
     }
 
@@ -142,7 +143,7 @@
 
     private fun borrowingOf(account: AccountConfig): Borrowing {
         val configuration = state.view!!.configuration
-        val known = byAccount.getOrPut(account.name) { Borrowing(AccountLoans(borrowerId(), policy.loanMs, clock.nowMs()), emptyList(), 0) }
+        val known = byAccount.getOrPut(account.name) { Borrowing(AccountLoans(borrowerId(), policy.loanMs, clock.nowMs()), Holders(emptyList(), emptyList()), 0) }
         if (known.version != configuration.version) {
             known.version = configuration.version
             known.holders = holdersByDistance(configuration.seatsOf(account).seats)
@@ -150,14 +151,12 @@
         return known
     }
 
-    /** Own region first; within a region each daemon starts at another holder, so that the load spreads. */
-    private fun holdersByDistance(seats: List<Seat>): List<String> =
-        seats
-            .filter { it.holder != null && it.orphanedAtMs == null }
-            .sortedBy { "${it.holder}/${self.home}".hashCode() }
-            .sortedBy { if (it.region == place.region) 0 else 1 }
-            .mapNotNull { it.holder }
-            .distinct()
+    /** Each daemon starts at another holder, so that the load spreads. */
+    private fun holdersByDistance(seats: List<Seat>): Holders {
+        val held = seats.filter { it.holder != null && it.orphanedAtMs == null }.sortedBy { "${it.holder}/${self.home}".hashCode() }
+        val (near, far) = held.partition { it.region == place.region }
+        return Holders(near.mapNotNull { it.holder }.distinct(), far.mapNotNull { it.holder }.distinct())
+    }
 
     private fun borrowerId() = "${self.home}/${self.incarnation}"
 
--- a/wire/src/main/java/wigeonreel/wire/BlockRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/BlockRequest.java
@@ -159,6 +159,21 @@
     }
   }
 
+  public static final int HOME_SET_VERSION_FIELD_NUMBER = 4;
+  private long homeSetVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the home set by which the asking daemon is the key's home.
+   * </pre>
+   *
+   * <code>int64 home_set_version = 4;</code>
+   * @return The homeSetVersion.
+   */
+  @java.lang.Override
+  public long getHomeSetVersion() {
+    return homeSetVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -182,6 +197,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(key_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 3, key_);
     }
+    if (homeSetVersion_ != 0L) {
+      output.writeInt64(4, homeSetVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -200,6 +218,10 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(key_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(3, key_);
     }
+    if (homeSetVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, homeSetVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -221,6 +243,8 @@
         .equals(other.getAccount())) return false;
     if (!getKey()
         .equals(other.getKey())) return false;
+    if (getHomeSetVersion()
+        != other.getHomeSetVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -238,6 +262,9 @@
     hash = (53 * hash) + getAccount().hashCode();
     hash = (37 * hash) + KEY_FIELD_NUMBER;
     hash = (53 * hash) + getKey().hashCode();
+    hash = (37 * hash) + HOME_SET_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHomeSetVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -372,6 +399,7 @@
       service_ = "";
       account_ = "";
       key_ = "";
+      homeSetVersion_ = 0L;
       return this;
     }
 
@@ -414,6 +442,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.key_ = key_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.homeSetVersion_ = homeSetVersion_;
+      }
     }
 
     @java.lang.Override
@@ -475,6 +506,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getHomeSetVersion() != 0L) {
+        setHomeSetVersion(other.getHomeSetVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -516,6 +550,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              homeSetVersion_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -748,6 +787,50 @@
       onChanged();
       return this;
     }
+
+    private long homeSetVersion_ ;
+    /**
+     * <pre>
+     * Version of the home set by which the asking daemon is the key's home.
+     * </pre>
+     *
+     * <code>int64 home_set_version = 4;</code>
+     * @return The homeSetVersion.
+     */
+    @java.lang.Override
+    public long getHomeSetVersion() {
+      return homeSetVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the home set by which the asking daemon is the key's home.
+     * </pre>
+     *
+     * <code>int64 home_set_version = 4;</code>
+     * @param value The homeSetVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHomeSetVersion(long value) {
+
+      homeSetVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the home set by which the asking daemon is the key's home.
+     * </pre>
+     *
+     * <code>int64 home_set_version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHomeSetVersion() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      homeSetVersion_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/BlockRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/BlockRequestOrBuilder.java
@@ -43,4 +43,14 @@
    */
   com.google.protobuf.ByteString
       getKeyBytes();
+
+  /**
+   * <pre>
+   * Version of the home set by which the asking daemon is the key's home.
+   * </pre>
+   *
+   * <code>int64 home_set_version = 4;</code>
+   * @return The homeSetVersion.
+   */
+  long getHomeSetVersion();
 }
--- a/wire/src/main/java/wigeonreel/wire/BlockState.java
+++ b/wire/src/main/java/wigeonreel/wire/BlockState.java
@@ -25,6 +25,10 @@
    * <code>RECORD_LOST = 3;</code>
    */
   RECORD_LOST(3),
+  /**
+   * <code>SPENT = 4;</code>
+   */
+  SPENT(4),
   UNRECOGNIZED(-1),
   ;
 
@@ -44,6 +48,10 @@
    * <code>RECORD_LOST = 3;</code>
    */
   public static final int RECORD_LOST_VALUE = 3;
+  /**
+   * <code>SPENT = 4;</code>
+   */
+  public static final int SPENT_VALUE = 4;
 
 
   public final int getNumber() {
@@ -74,6 +82,7 @@
       case 1: return SEEN_RUNNING;
       case 2: return SEEN_DONE;
       case 3: return RECORD_LOST;
+      case 4: return SPENT;
       default: return null;
     }
   }
--- a/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
@@ -117,55 +117,56 @@
       "eonreel.wire.Header\022\014\n\004body\030\005 \001(\014\022\017\n\007ref" +
       "usal\030\006 \001(\t\022\026\n\016retry_after_ms\030\007 \001(\r\022\025\n\rre" +
       "tries_spent\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_fli" +
-      "ght\030\n \001(\r\022\r\n\005limit\030\013 \001(\r\"=\n\014BlockRequest" +
+      "ght\030\n \001(\r\022\r\n\005limit\030\013 \001(\r\"W\n\014BlockRequest" +
       "\022\017\n\007service\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\013\n\003ke" +
-      "y\030\003 \001(\t\"h\n\nBlockReply\022*\n\005state\030\001 \001(\0162\033.w" +
-      "igeonreel.wire.BlockState\022.\n\007outcome\030\002 \001" +
-      "(\0132\035.wigeonreel.wire.ForwardReply\"\201\001\n\rBo" +
-      "rrowRequest\022\017\n\007account\030\001 \001(\t\022\020\n\010borrower" +
-      "\030\002 \001(\t\022\017\n\007loan_id\030\003 \001(\004\022\016\n\006tokens\030\004 \001(\r\022" +
-      ",\n\007reports\030\005 \003(\0132\033.wigeonreel.wire.LoanR" +
-      "eport\"<\n\nLoanReport\022\017\n\007loan_id\030\001 \001(\004\022\r\n\005" +
-      "spent\030\002 \001(\r\022\016\n\006closed\030\003 \001(\010\"?\n\013BorrowRep" +
-      "ly\022\017\n\007loan_id\030\001 \001(\004\022\016\n\006tokens\030\002 \001(\r\022\017\n\007w" +
-      "ait_ms\030\003 \001(\r\"+\n\022FetchConfigRequest\022\025\n\raf" +
-      "ter_version\030\001 \001(\003\"f\n\013ConfigDelta\022\024\n\014from" +
-      "_version\030\001 \001(\003\022\022\n\nto_version\030\002 \001(\003\022-\n\007en" +
-      "tries\030\003 \003(\0132\034.wigeonreel.wire.ConfigEntr" +
-      "y\"L\n\013ConfigEntry\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t\022\017\n\007version\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\"" +
-      " \n\rConfigReceipt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Go" +
-      "ssip\022*\n\004kind\030\001 \001(\0162\034.wigeonreel.wire.Gos" +
-      "sip.Kind\022\020\n\010sequence\030\002 \001(\004\022\'\n\006sender\030\003 \001" +
-      "(\0132\027.wigeonreel.wire.Member\022\016\n\006target\030\004 " +
-      "\001(\t\022(\n\007updates\030\005 \003(\0132\027.wigeonreel.wire.M" +
-      "ember\022\026\n\016config_version\030\006 \001(\003\022,\n\006config\030" +
-      "\007 \001(\0132\034.wigeonreel.wire.ConfigDelta\022\016\n\006d" +
-      "igest\030\010 \001(\006\022\026\n\016bucket_digests\030\t \003(\006\022\033\n\023c" +
-      "onfig_proven_at_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING" +
-      "\020\000\022\007\n\003ACK\020\001\022\020\n\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022" +
-      "\010\n\004SYNC\020\004\"\340\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022+\n\005state\030\003 \001(\0162\034.wigeonree" +
-      "l.wire.MemberState\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer" +
-      "_port\030\005 \001(\r\022\016\n\006region\030\006 \001(\t\022\026\n\016failure_d" +
-      "omain\030\007 \001(\t\022\017\n\007service\030\010 \001(\t\022\r\n\005slots\030\t " +
-      "\001(\r\022\r\n\005ready\030\n \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007" +
-      "Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UN" +
-      "KNOWN\020\002*K\n\nBlockState\022\013\n\007BLOCKED\020\000\022\020\n\014SE" +
-      "EN_RUNNING\020\001\022\r\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LO" +
-      "ST\020\003*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPEC" +
-      "T\020\001\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n" +
-      "\004Peer\022L\n\010Exchange\022\035.wigeonreel.wire.Requ" +
-      "estFrame\032\035.wigeonreel.wire.ForwardReply(" +
-      "\0010\001\022C\n\005Block\022\035.wigeonreel.wire.BlockRequ" +
-      "est\032\033.wigeonreel.wire.BlockReply\022F\n\006Borr" +
-      "ow\022\036.wigeonreel.wire.BorrowRequest\032\034.wig" +
-      "eonreel.wire.BorrowReply\022P\n\013FetchConfig\022" +
-      "#.wigeonreel.wire.FetchConfigRequest\032\034.w" +
-      "igeonreel.wire.ConfigDelta\022K\n\013OfferConfi" +
-      "g\022\034.wigeonreel.wire.ConfigDelta\032\036.wigeon" +
-      "reel.wire.ConfigReceiptB\023\n\017wigeonreel.wi" +
-      "reP\001b\006proto3"
+      "y\030\003 \001(\t\022\030\n\020home_set_version\030\004 \001(\003\"h\n\nBlo" +
+      "ckReply\022*\n\005state\030\001 \001(\0162\033.wigeonreel.wire" +
+      ".BlockState\022.\n\007outcome\030\002 \001(\0132\035.wigeonree" +
+      "l.wire.ForwardReply\"\201\001\n\rBorrowRequest\022\017\n" +
+      "\007account\030\001 \001(\t\022\020\n\010borrower\030\002 \001(\t\022\017\n\007loan" +
+      "_id\030\003 \001(\004\022\016\n\006tokens\030\004 \001(\r\022,\n\007reports\030\005 \003" +
+      "(\0132\033.wigeonreel.wire.LoanReport\"<\n\nLoanR" +
+      "eport\022\017\n\007loan_id\030\001 \001(\004\022\r\n\005spent\030\002 \001(\r\022\016\n" +
+      "\006closed\030\003 \001(\010\"?\n\013BorrowReply\022\017\n\007loan_id\030" +
+      "\001 \001(\004\022\016\n\006tokens\030\002 \001(\r\022\017\n\007wait_ms\030\003 \001(\r\"+" +
+      "\n\022FetchConfigRequest\022\025\n\rafter_version\030\001 " +
+      "\001(\003\"f\n\013ConfigDelta\022\024\n\014from_version\030\001 \001(\003" +
+      "\022\022\n\nto_version\030\002 \001(\003\022-\n\007entries\030\003 \003(\0132\034." +
+      "wigeonreel.wire.ConfigEntry\"L\n\013ConfigEnt" +
+      "ry\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\017\n\007versi" +
+      "on\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\" \n\rConfigRecei" +
+      "pt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Gossip\022*\n\004kind\030\001" +
+      " \001(\0162\034.wigeonreel.wire.Gossip.Kind\022\020\n\010se" +
+      "quence\030\002 \001(\004\022\'\n\006sender\030\003 \001(\0132\027.wigeonree" +
+      "l.wire.Member\022\016\n\006target\030\004 \001(\t\022(\n\007updates" +
+      "\030\005 \003(\0132\027.wigeonreel.wire.Member\022\026\n\016confi" +
+      "g_version\030\006 \001(\003\022,\n\006config\030\007 \001(\0132\034.wigeon" +
+      "reel.wire.ConfigDelta\022\016\n\006digest\030\010 \001(\006\022\026\n" +
+      "\016bucket_digests\030\t \003(\006\022\033\n\023config_proven_a" +
+      "t_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n" +
+      "\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n\006" +
+      "Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
+      "+\n\005state\030\003 \001(\0162\034.wigeonreel.wire.MemberS" +
+      "tate\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016\n" +
+      "\006region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001(\t\022\017\n" +
+      "\007service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005ready\030\n" +
+      " \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014\n\010ANS" +
+      "WERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBlo" +
+      "ckState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNING\020\001\022\r" +
+      "\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005SPENT\020" +
+      "\004*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001" +
+      "\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n\004Pe" +
+      "er\022L\n\010Exchange\022\035.wigeonreel.wire.Request" +
+      "Frame\032\035.wigeonreel.wire.ForwardReply(\0010\001" +
+      "\022C\n\005Block\022\035.wigeonreel.wire.BlockRequest" +
+      "\032\033.wigeonreel.wire.BlockReply\022F\n\006Borrow\022" +
+      "\036.wigeonreel.wire.BorrowRequest\032\034.wigeon" +
+      "reel.wire.BorrowReply\022P\n\013FetchConfig\022#.w" +
+      "igeonreel.wire.FetchConfigRequest\032\034.wige" +
+      "onreel.wire.ConfigDelta\022K\n\013OfferConfig\022\034" +
+      ".wigeonreel.wire.ConfigDelta\032\036.wigeonree" +
+      "l.wire.ConfigReceiptB\023\n\017wigeonreel.wireP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -200,7 +201,7 @@
     internal_static_wigeonreel_wire_BlockRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_BlockRequest_descriptor,
-        new java.lang.String[] { "Service", "Account", "Key", });
+        new java.lang.String[] { "Service", "Account", "Key", "HomeSetVersion", });
     internal_static_wigeonreel_wire_BlockReply_descriptor =
       getDescriptor().getMessageTypes().get(5);
     internal_static_wigeonreel_wire_BlockReply_fieldAccessorTable = new
