--- a/core/src/main/kotlin/wigeonreel/limit/AccountLoans.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/AccountLoans.kt
@@ -1,7 +1,10 @@
 package wigeonreel.limit
 
 /** Holders of an account's shares: those in the daemon's own region, and the others. */
-data class Holders(val near: List<String>, val far: List<String>) {
+data class Holders(
+    val near: List<String>,
+    val far: List<String>,
+) {
     /** All holders, near ones first. */
     val all: List<String> get() = near + far
 }
--- a/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
@@ -23,7 +23,13 @@
     private val loanMs: Long,
     firstLoanId: Long,
 ) {
-    private class Held(val loanId: Long, val holder: String, val tokens: Int, var spent: Int, val endsAtMs: Long) {
+    private class Held(
+        val loanId: Long,
+        val holder: String,
+        val tokens: Int,
+        var spent: Int,
+        val endsAtMs: Long,
+    ) {
         var reported = 0
     }
 
--- a/core/src/main/kotlin/wigeonreel/once/ExecutionRecords.kt
+++ b/core/src/main/kotlin/wigeonreel/once/ExecutionRecords.kt
@@ -91,7 +91,9 @@
         data object Spent : State<Nothing>
 
         /** Blocked for a home of the home set [version]. */
-        data class Blocked(val version: Long) : State<Nothing>
+        data class Blocked(
+            val version: Long,
+        ) : State<Nothing>
     }
 
     private class Record<O>(
--- a/daemon/src/main/kotlin/wigeonreel/traffic/LimitService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/LimitService.kt
@@ -143,7 +143,10 @@
 
     private fun borrowingOf(account: AccountConfig): Borrowing {
         val configuration = state.view!!.configuration
-        val known = byAccount.getOrPut(account.name) { Borrowing(AccountLoans(borrowerId(), policy.loanMs, clock.nowMs()), Holders(emptyList(), emptyList()), 0) }
+        val known =
+            byAccount.getOrPut(account.name) {
+                Borrowing(AccountLoans(borrowerId(), policy.loanMs, clock.nowMs()), Holders(emptyList(), emptyList()), 0)
+            }
         if (known.version != configuration.version) {
             known.version = configuration.version
             known.holders = holdersByDistance(configuration.seatsOf(account).seats)
--- /dev/null
+++ b/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
@@ -0,0 +1,49 @@
+package wigeonreel.codec
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import wigeonreel.config.ConfigDelta
+import wigeonreel.config.ConfigEntry
+import wigeonreel.membership.ConfigProof
+import wigeonreel.membership.GossipKind
+import wigeonreel.membership.GossipMessage
+import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
+import wigeonreel.membership.PeerAddress
+import wigeonreel.membership.ServerInfo
+import wigeonreel.place.Place
+
+class GossipCodecTest {
+    private val member = Member("d1", 5, 2, MemberState.LEAVING, PeerAddress("127.0.0.1", 7), Place("r0", "f1"), ServerInfo("s", 90, false))
+    private val message =
+        GossipMessage(
+            kind = GossipKind.SYNC,
+            sequence = 9,
+            sender = member,
+            target = "d2",
+            updates = listOf(member.copy(id = "d3", server = null)),
+            proof = ConfigProof(4, 77),
+            config = ConfigDelta(3, 4, listOf(ConfigEntry("account/a", "{}", 4), ConfigEntry("key/k", null, 4))),
+            digest = -1,
+            bucketDigests = listOf(1, -2),
+        )
+
+    @Test
+    fun `a message is the same after encoding and decoding`() {
+        expectThat(decodeGossip(message.encode()).getOrNull()).isEqualTo(message)
+    }
+
+    @Property(seed = "20261204", tries = 3_000)
+    fun `changed bytes give a message or a typed error`(
+        @ForAll @IntRange(min = 0, max = 150) at: Int,
+        @ForAll replacement: Byte,
+    ): Boolean {
+        val bytes = message.encode()
+        bytes[at % bytes.size] = replacement
+        return decodeGossip(bytes).fold({ it.message.isNotEmpty() }, { it.toString().isNotEmpty() })
+    }
+}
--- /dev/null
+++ b/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
@@ -0,0 +1,107 @@
+package wigeonreel.http
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import kotlin.concurrent.thread
+
+class HttpTest {
+    private val loop = dutyLoop("test")
+    private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    private val limits = HttpLimits(maxBodyBytes = 100, maxHeaderBytes = 1_024, maxRequestLineBytes = 256)
+    private val handler =
+        object : HttpHandler {
+            override fun handle(exchange: HttpExchange) =
+                exchange.respond(textResponse(200, "${exchange.request.path} ${exchange.request.body.size}"))
+
+            override fun reject(fault: HttpFault) = textResponse(400, fault.name)
+        }
+    private val listener = HttpListener("test", loop, "127.0.0.1", port, limits, handler)
+
+    @BeforeEach
+    fun start() = listener.start()
+
+    @AfterEach
+    fun stop() {
+        listener.stop()
+        loop.shutdownGracefully()
+    }
+
+    private class Raw(
+        val name: String,
+        val sent: String,
+        val expected: String,
+    )
+
+    @TestFactory
+    fun `bytes that are no acceptable request get a typed answer`() =
+        listOf(
+            Raw("no HTTP", "hello\r\n\r\n", "MALFORMED"),
+            Raw("bad header", "GET / HTTP/1.1\r\nbad header\r\n\r\n", "MALFORMED"),
+            Raw("long line", "GET /${"x".repeat(300)} HTTP/1.1\r\n\r\n", "HEADERS_TOO_LARGE"),
+            Raw("long header", "GET / HTTP/1.1\r\nA: ${"x".repeat(2_000)}\r\n\r\n", "HEADERS_TOO_LARGE"),
+            Raw("long body", "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n${"x".repeat(101)}", "BODY_TOO_LARGE"),
+            Raw("pipelined", "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n", "/2 0"),
+        ).map { case -> DynamicTest.dynamicTest(case.name) { expectThat(exchange(case.sent)).contains(case.expected) } }
+
+    private fun exchange(sent: String): String =
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 5_000
+            socket.getOutputStream().write(sent.encodeToByteArray())
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+
+    private class Reply(
+        val name: String,
+        val reply: String,
+        val expected: LostReason,
+    )
+
+    @TestFactory
+    fun `an answer that is not whole is never passed on`() =
+        listOf(
+            Reply("cut body", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf", LostReason.CLOSED),
+            Reply("cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", LostReason.CLOSED),
+            Reply("no length", "HTTP/1.1 200 OK\r\n\r\nmaybe whole", LostReason.TRUNCATED),
+            Reply("too large", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n${"x".repeat(101)}", LostReason.TOO_LARGE),
+            Reply("nothing", "", LostReason.CLOSED),
+        ).map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                expectThat(sendTo(case.reply)).isEqualTo(HttpResult.Lost(case.expected))
+            }
+        }
+
+    private fun sendTo(reply: String): HttpResult =
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread {
+                server.accept().use {
+                    it.getInputStream().read(ByteArray(1_024))
+                    it.getOutputStream().write(reply.encodeToByteArray())
+                }
+            }
+            send(server.localPort)
+        }
+
+    private fun send(port: Int): HttpResult {
+        val connector = HttpConnector(loop, limits)
+        val done = CompletableFuture<HttpResult>()
+        loop.execute { connector.send(HttpAddress("127.0.0.1", port), HttpRequest("GET", "/"), 5_000) { done.complete(it) } }
+        return done.get()
+    }
+
+    @Test
+    fun `a refused connection proves that nothing was sent`() {
+        listener.stop()
+        expectThat(send(port)).isA<HttpResult.NotSent>()
+    }
+}
--- a/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
@@ -18,7 +18,9 @@
 import wigeonreel.platform.TableService
 
 /** Table service with one row, outages, slowness, lost answers, and at times an older answer to a read. */
-private class FakeTable(private val queue: EventQueue) : TableService {
+private class FakeTable(
+    private val queue: EventQueue,
+) : TableService {
     private val history = mutableListOf<Row>()
     var up = true
     var faulty = true
@@ -75,8 +77,12 @@
  * Checks: a daemon's version never falls; a change said to be stored is stored, exactly once; a change said not to be
  * stored never is; once faults end, every daemon has the stored version within 7 s.
  */
-class ConfigSoak(seed: Long) {
-    private inner class Node(val number: Int) {
+class ConfigSoak(
+    seed: Long,
+) {
+    private inner class Node(
+        val number: Int,
+    ) {
         val clock = Clock { queue.nowMs }
         var keeper = ConfigKeeper(table, clock) {}
         var highest = 0L
--- a/scenario/src/main/kotlin/wigeonreel/soak/EventQueue.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/EventQueue.kt
@@ -4,11 +4,21 @@
 import kotlin.random.Random
 
 /** A check that failed, with the events that led to it. */
-class InvariantViolation(val check: String, val detail: String, val trace: List<String>) : RuntimeException("$check: $detail")
+class InvariantViolation(
+    val check: String,
+    val detail: String,
+    val trace: List<String>,
+) : RuntimeException("$check: $detail")
 
 /** Virtual time, seeded chance and a trace; the only thing that the soaks share. */
-class EventQueue(seed: Long) {
-    private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
+class EventQueue(
+    seed: Long,
+) {
+    private class Event(
+        val atMs: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
 
     private val events = PriorityQueue<Event>(compareBy({ it.atMs }, { it.order }))
     private val trace = ArrayDeque<String>()
--- a/scenario/src/main/kotlin/wigeonreel/soak/FakeNetwork.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/FakeNetwork.kt
@@ -1,7 +1,11 @@
 package wigeonreel.soak
 
 /** Network between numbered nodes: loses, delays, doubles and reorders messages, and can be cut. */
-class FakeNetwork(private val queue: EventQueue, private val loss: Double, private val doubling: Double) {
+class FakeNetwork(
+    private val queue: EventQueue,
+    private val loss: Double,
+    private val doubling: Double,
+) {
     private val cuts = HashSet<Pair<Int, Int>>()
 
     /** Whether messages are lost, doubled or delayed long. */
@@ -20,7 +24,14 @@
         if (faulty && queue.chance(doubling)) queue.after(delayMs(), deliver)
     }
 
-    private fun delayMs(): Long = if (faulty && queue.chance(SLOW_SHARE)) queue.random.nextLong(SLOW_MS) else queue.random.nextLong(USUAL_MS) + 1
+    private fun delayMs(): Long =
+        if (faulty &&
+            queue.chance(SLOW_SHARE)
+        ) {
+            queue.random.nextLong(SLOW_MS)
+        } else {
+            queue.random.nextLong(USUAL_MS) + 1
+        }
 
     private companion object {
         const val SLOW_SHARE = 0.05
--- a/scenario/src/main/kotlin/wigeonreel/soak/LimitSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/LimitSoak.kt
@@ -17,7 +17,10 @@
 import wigeonreel.steward.planStewardship
 
 /** Mechanisms of the account limits that a run can leave out, to show that the checks notice. */
-enum class LimitSabotage { NONE, NO_TENURE, LOANS_FROM_RECEIPT, LOANS_DO_NOT_COUNT }
+enum class LimitSabotage { NONE, NO_TENURE, LOANS_FROM_RECEIPT }
+
+/** Faults of a run: none, single daemons cut from the store, or all kinds together. */
+enum class LimitFaults { NONE, ISOLATION, ALL }
 
 /**
  * Attacks the account limits: restarts, pauses, cuts, store outages, clock errors, lost and doubled messages, stewards
@@ -26,13 +29,20 @@
  * Check: over all daemons together the account never receives more than its rate and burst in any window. Measure:
  * refusals although the fleet-wide bucket had a token.
  */
-class LimitSoak(seed: Long, private val sabotage: LimitSabotage = LimitSabotage.NONE, private val faults: Boolean = true) {
-    private inner class Node(val number: Int) {
+class LimitSoak(
+    seed: Long,
+    private val sabotage: LimitSabotage = LimitSabotage.NONE,
+    private val faults: LimitFaults = LimitFaults.ALL,
+) {
+    private inner class Node(
+        val number: Int,
+    ) {
         val id = "d$number"
         val region = "r${number % REGIONS}"
         val clockErrorMs = queue.random.nextLong(-CLOCK_ERROR_MS, CLOCK_ERROR_MS + 1)
         var incarnation = 0L
         var pausedUntilMs = 0L
+        var isolatedUntilMs = 0L
         var known = Configuration.EMPTY
         lateinit var lender: SeatLender
         lateinit var loans: AccountLoans
@@ -53,7 +63,7 @@
         }
 
         fun readStore() {
-            if (!storeUp) return
+            if (!storeUp || isolatedUntilMs > queue.nowMs) return
             val startedMs = clockMs()
             val live = incarnation
             val read = stored
@@ -69,20 +79,22 @@
 
         fun toMember() = Member(id, incarnation, 0, state(), PeerAddress(id, 1), Place(region, "f"), null)
 
-        /** A paused daemon looks dead to the others. */
-        private fun state() = if (pausedUntilMs > queue.nowMs) MemberState.DEAD else MemberState.ALIVE
+        /** A paused or isolated daemon looks dead to the steward; an isolated one goes on serving those that it can reach. */
+        private fun state() = if (maxOf(pausedUntilMs, isolatedUntilMs) > queue.nowMs) MemberState.DEAD else MemberState.ALIVE
     }
 
     private val queue = EventQueue(seed)
     private val policy = LimitPolicy(tenureMs = TENURE_MS, clockMarginMs = CLOCK_MARGIN_MS)
     private val stewardPolicy = StewardPolicy(tenureMs = TENURE_MS, marginMs = CLOCK_MARGIN_MS)
-    private val network = FakeNetwork(queue, loss = if (faults) LOSS else 0.0, doubling = if (faults) LOSS else 0.0).also { it.faulty = faults }
+    private val network =
+        FakeNetwork(queue, loss = lossOf(faults), doubling = lossOf(faults)).also { it.faulty = faults == LimitFaults.ALL }
     private var storeUp = true
     private var stored = firstConfiguration()
     private val nodes = List(NODES) { Node(it) }
     private var level = BURST
     private var levelAtMs = queue.nowMs
     private var demandPerTick = 1
+    private var hoarding = false
 
     /** Requests let in. */
     var admitted = 0L
@@ -104,17 +116,48 @@
         queue.run(SETTLE_MS)
         queue.repeatedly(TICK_MS) { demand() }
         queue.repeatedly(SHIFT_MS) { demandPerTick = if (queue.chance(SURGE_SHARE)) SURGE_PER_TICK else 1 }
-        if (faults) startFaults()
+        startFaults()
         queue.run(virtualMs)
     }
 
     private fun startFaults() {
+        if (faults == LimitFaults.NONE) return
+        queue.repeatedly(ISOLATION_MS) { isolate(nodes.random(queue.random)) }
+        queue.repeatedly(HOARD_MS) { hoard() }
+        if (faults == LimitFaults.ISOLATION) return
         queue.repeatedly(RESTART_MS) { nodes.random(queue.random).start() }
-        queue.repeatedly(PAUSE_MS) { nodes.random(queue.random).let { it.pausedUntilMs = queue.nowMs + queue.random.nextLong(PAUSE_LENGTH_MS) } }
+        queue.repeatedly(PAUSE_MS) {
+            nodes.random(queue.random).let {
+                it.pausedUntilMs =
+                    queue.nowMs + queue.random.nextLong(PAUSE_LENGTH_MS)
+            }
+        }
         queue.repeatedly(OUTAGE_MS) { storeUp = !storeUp }
         queue.repeatedly(CUT_MS) { cutRegions() }
     }
 
+    private fun isolate(node: Node) {
+        node.isolatedUntilMs = queue.nowMs + queue.random.nextLong(ISOLATION_LENGTH_MS)
+    }
+
+    /** All daemons borrow for a while without spending, then spend all that they hold at once. */
+    private fun hoard() {
+        hoarding = true
+        repeat(HOARD_ROUNDS) { round ->
+            nodes.forEach { node ->
+                queue.after(round * HOARD_ROUND_MS) {
+                    node.awake { node.loans.ask(holders(node), node.clockMs())?.let { send(node, it, waiting = false) } }
+                }
+            }
+        }
+        queue.after(HOARD_ROUNDS * HOARD_ROUND_MS) {
+            hoarding = false
+            nodes.filter { it.pausedUntilMs <= queue.nowMs }.forEach { node ->
+                while (node.loans.spendForWaiting(node.clockMs())) admit(node)
+            }
+        }
+    }
+
     private fun cutRegions() {
         val (left, right) = nodes.partition { it.region == "r0" }.let { (a, b) -> a.map { it.number } to b.map { it.number } }
         network.setCut(left, right, true)
@@ -128,7 +171,11 @@
         val seen = stored
         val members = nodes.map { it.toMember() }
         queue.after(queue.random.nextLong(STORE_MS)) {
-            if (stored.version == seen.version) write(seen, planStewardship(writer.toMember(), members, seen, stewardPolicy, writer.clockMs()))
+            if (stored.version ==
+                seen.version
+            ) {
+                write(seen, planStewardship(writer.toMember(), members, seen, stewardPolicy, writer.clockMs()))
+            }
         }
     }
 
@@ -137,6 +184,7 @@
     }
 
     private fun demand() {
+        if (hoarding) return
         repeat(queue.random.nextInt(demandPerTick * 2) + 1) {
             val node = nodes.random(queue.random)
             node.awake { arrive(node) }
@@ -195,7 +243,10 @@
         refill()
         level -= 1.0
         admitted++
-        queue.require("rate-and-burst", level >= -EPSILON) { "the account received ${-level} more than its rate and burst, last at ${node.id}" }
+        queue.require(
+            "rate-and-burst",
+            level >= -EPSILON,
+        ) { "the account received ${-level} more than its rate and burst, last at ${node.id}" }
     }
 
     private fun refuse() {
@@ -211,7 +262,11 @@
 
     private fun holders(node: Node): Holders {
         val account = node.known.accounts[ACCOUNT] ?: return Holders(emptyList(), emptyList())
-        val seats = node.known.seatsOf(account).seats.filter { it.holder != null && it.orphanedAtMs == null }
+        val seats =
+            node.known
+                .seatsOf(account)
+                .seats
+                .filter { it.holder != null && it.orphanedAtMs == null }
         val (near, far) = seats.partition { it.region == node.region }
         return Holders(near.mapNotNull { it.holder }.distinct(), far.mapNotNull { it.holder }.distinct())
     }
@@ -224,6 +279,8 @@
     }
 
     private companion object {
+        fun lossOf(faults: LimitFaults) = if (faults == LimitFaults.ALL) LOSS else 0.0
+
         const val ACCOUNT = "harbour"
         const val RATE = 200.0
         const val BURST = 64.0
@@ -251,5 +308,10 @@
         const val STORE_MS = 300L
         const val ASK_TIMEOUT_MS = 200L
         const val HOARD_FACTOR = 4L
+        const val HOARD_MS = 3_000L
+        const val HOARD_ROUNDS = 60
+        const val HOARD_ROUND_MS = 15L
+        const val ISOLATION_MS = 10_000L
+        const val ISOLATION_LENGTH_MS = 20_000L
     }
 }
--- a/scenario/src/main/kotlin/wigeonreel/soak/Main.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/Main.kt
@@ -18,7 +18,12 @@
     val parser = argParser("soak", args)
     val seed by parser.option(ArgType.Int, fullName = "seed", description = "First seed").default(1)
     val minutes by parser.option(ArgType.Double, fullName = "minutes", description = "Length in minutes").default(1.0)
-    val only by parser.option(ArgType.String, fullName = "only", description = "once, limit, limit-calm, retry or config; all without it").default("")
+    val only by parser
+        .option(
+            ArgType.String,
+            fullName = "only",
+            description = "once, limit, limit-calm, retry or config; all without it",
+        ).default("")
     parser.parse(args)
     val soaks = SOAKS.filterKeys { only.isEmpty() || it == only }
     if (soaks.isEmpty()) fail(ExitCode.USAGE, "soak: no soak is named '$only'; name once, limit, limit-calm, retry or config")
@@ -34,9 +39,19 @@
 private val SOAKS: Map<String, (Long) -> String> =
     mapOf(
         "once" to { seed -> OnceSoak(seed).run { run(ONCE_VIRTUAL_MS).let { "attempts=$attemptCount runs=$runs" } } },
-        "limit" to { seed -> LimitSoak(seed).run { run(LIMIT_VIRTUAL_MS).let { "admitted=$admitted refused=$refused wrongful=$wrongful" } } },
+        "limit" to
+            { seed -> LimitSoak(seed).run { run(LIMIT_VIRTUAL_MS).let { "admitted=$admitted refused=$refused wrongful=$wrongful" } } },
         "limit-calm" to
-            { seed -> LimitSoak(seed, faults = false).run { run(LIMIT_VIRTUAL_MS).let { "admitted=$admitted refused=$refused wrongful=$wrongful" } } },
+            { seed ->
+                LimitSoak(
+                    seed,
+                    faults = LimitFaults.NONE,
+                ).run { run(LIMIT_VIRTUAL_MS).let { "admitted=$admitted refused=$refused wrongful=$wrongful" } }
+            },
+        "limit-isolation" to
+            { seed ->
+                LimitSoak(seed, faults = LimitFaults.ISOLATION).run { run(LIMIT_VIRTUAL_MS).let { "admitted=$admitted refused=$refused" } }
+            },
         "retry" to { seed -> RetrySoak(seed).run { run(TREES).let { "trees=$trees" } } },
         "config" to { seed -> ConfigSoak(seed).run { run(CONFIG_VIRTUAL_MS).let { "writes=$writes stored=$storedWrites" } } },
     )
--- a/scenario/src/main/kotlin/wigeonreel/soak/OnceSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/OnceSoak.kt
@@ -24,8 +24,13 @@
  * Checks: a key is run at most once; an attempt refused as not run was not run; a key called spent never runs; a kept
  * outcome is the outcome of the one run.
  */
-class OnceSoak(seed: Long, private val sabotage: OnceSabotage = OnceSabotage.NONE) {
-    private inner class Node(val number: Int) {
+class OnceSoak(
+    seed: Long,
+    private val sabotage: OnceSabotage = OnceSabotage.NONE,
+) {
+    private inner class Node(
+        val number: Int,
+    ) {
         val id = "d$number"
         val clockErrorMs = queue.random.nextLong(-CLOCK_ERROR_MS, CLOCK_ERROR_MS + 1)
         var incarnation = 0L
@@ -86,7 +91,12 @@
         nodes.forEach { node -> queue.repeatedly(EVICT_MS) { node.awake { node.records.evict(node.clockMs()) } } }
         queue.repeatedly(CHANGE_MS) { changeHomeSet() }
         queue.repeatedly(RESTART_MS) { nodes.random(queue.random).let { node -> restart(node) } }
-        queue.repeatedly(PAUSE_MS) { nodes.random(queue.random).let { it.pausedUntilMs = queue.nowMs + queue.random.nextLong(PAUSE_LENGTH_MS) } }
+        queue.repeatedly(PAUSE_MS) {
+            nodes.random(queue.random).let {
+                it.pausedUntilMs =
+                    queue.nowMs + queue.random.nextLong(PAUSE_LENGTH_MS)
+            }
+        }
         queue.repeatedly(OUTAGE_MS) { storeUp = !storeUp }
         queue.repeatedly(CUT_MS) { cut() }
         queue.run(virtualMs)
@@ -127,7 +137,9 @@
                 val home = nodes.random(queue.random)
                 mintKey(HomeBinding(home.id, home.incarnation), home.clockMs(), queue.random.nextLong(), queue.random.nextLong())
             } else {
-                parseIdempotencyKey(timeOrderedUuid(callerClockMs, queue.random.nextLong(), queue.random.nextLong()).toString()).getOrNull()!!
+                parseIdempotencyKey(
+                    timeOrderedUuid(callerClockMs, queue.random.nextLong(), queue.random.nextLong()).toString(),
+                ).getOrNull()!!
             }
         var delayMs = 0L
         repeat(1 + queue.random.nextInt(MAX_REPEATS)) {
--- a/scenario/src/main/kotlin/wigeonreel/soak/RetrySoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/RetrySoak.kt
@@ -3,7 +3,9 @@
 import wigeonreel.retry.RetryLedger
 
 /** Attacks the retry ledgers with random call trees, lost replies and servers that repeat failed calls themselves. */
-class RetrySoak(seed: Long) {
+class RetrySoak(
+    seed: Long,
+) {
     private val queue = EventQueue(seed)
 
     /** Number of trees checked. */
