--- a/scenario/src/main/kotlin/wigeonreel/bench/FakeBackend.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/FakeBackend.kt
@@ -17,24 +17,26 @@
     /** Requests that hold or await a slot. */
     val load: Int get() = running + waiting.size
 
-    /** Runs a request and calls [onDone] when it is done; returns false when the server sheds it. */
-    fun serve(onDone: () -> Unit): Boolean {
+    /** Works on a request, then calls [onWorked]; the slot is held until [release]. Returns false when the server sheds it. */
+    fun serve(onWorked: () -> Unit): Boolean {
         if (waiting.size >= slots * BACKLOG_FACTOR) return false
-        waiting.addLast(onDone)
+        waiting.addLast(onWorked)
         startNext()
         return true
     }
 
+    /** Frees the slot of a request whose own calls are over, too. */
+    fun release() {
+        running--
+        startNext()
+    }
+
     private fun startNext() {
         if (running >= slots) return
-        val onDone = waiting.removeFirstOrNull() ?: return
+        val onWorked = waiting.removeFirstOrNull() ?: return
         running++
         val spread = (SPREAD_LOW + queue.random.nextDouble()) * serviceMs * slowFactor
-        queue.after(spread.toLong().coerceAtLeast(1)) {
-            running--
-            onDone()
-            startNext()
-        }
+        queue.after(spread.toLong().coerceAtLeast(1), onWorked)
     }
 
     private companion object {
--- a/scenario/src/main/kotlin/wigeonreel/bench/OverloadRun.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/OverloadRun.kt
@@ -61,7 +61,7 @@
 ) {
     private val queue = EventQueue(seed)
     private val startMs = queue.nowMs
-    private val vms = (0 until SERVICES * SERVERS).map { Vm(it, it / SERVERS, SLOTS, SERVICE_MS, queue) }
+    private val vms = (0 until SERVICES * SERVERS).map { Vm(it, it / SERVERS, slotsOf(it / SERVERS), serviceMsOf(it / SERVERS), queue) }
     private var roots = 0L
 
     /** Counts of the run. */
@@ -217,6 +217,7 @@
         ledger: RetryLedger,
         onDone: (Boolean, Boolean, Cut, Int) -> Unit,
     ) {
+        vm.backend.release()
         if (control == Control.WIGEONREEL) {
             if (queue.nowMs <= tree.deadlineMs) vm.guard.onAnswer((queue.nowMs - startedMs).toDouble()) else vm.guard.onShed()
         }
@@ -235,8 +236,16 @@
     private companion object {
         const val SERVICES = 4
         const val SERVERS = 4
-        const val SLOTS = 5
+        const val DEEPEST_SLOTS = 25
+        const val OTHER_SLOTS = 90
+        const val DEEPEST_SERVICE_MS = 50L
+
+        fun slotsOf(service: Int) = if (service == SERVICES - 1) DEEPEST_SLOTS else OTHER_SLOTS
+
         const val SERVICE_MS = 10L
+
+        fun serviceMsOf(service: Int) = if (service == SERVICES - 1) DEEPEST_SERVICE_MS else SERVICE_MS
+
         const val PATIENCE_MS = 300L
         const val RETRY_BUDGET = 3
         const val MAX_ATTEMPTS = 3
@@ -244,7 +253,7 @@
         const val FAR_MS = 8L
 
         /** The deepest service is the narrowest: its servers answer this many calls in a millisecond. */
-        const val CAPACITY_PER_MS = SERVERS * SLOTS / SERVICE_MS.toDouble()
+        const val CAPACITY_PER_MS = SERVERS * DEEPEST_SLOTS / DEEPEST_SERVICE_MS.toDouble()
         const val USUAL_DEMAND = 0.6
     }
 }
