Let the soaks share one fake process; drop code that nothing used

OnceSoak and LimitSoak each had a process with a faulty clock, pauses and incarnations: FakeProcess serves both, with the random draws in the same order.

--- a/core/src/main/kotlin/wigeonreel/admission/Guard.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/Guard.kt
@@ -49,7 +49,6 @@
     private var windowEndsAtMs = startedAtMs + WINDOW_MS
     private var completed = 0.0
     private var refusedFull = 0
-    private var capacity = Double.MAX_VALUE
     private var cuts: Map<Stream, Cut> = emptyMap()
 
     /** Requests passed to the server and not yet answered. */
@@ -134,7 +133,7 @@
     private fun plan() {
         val demands = window.map { (stream, counter) -> StreamDemand(stream, counter.requests, counter.weight) }
         val overloaded = refusedFull > 0 || cuts.isNotEmpty()
-        capacity = if (overloaded) completed * PROBE_FACTOR + 1.0 else Double.MAX_VALUE
+        val capacity = if (overloaded) completed * PROBE_FACTOR + 1.0 else Double.MAX_VALUE
         val fits = demands.sumOf { it.requests } <= capacity
         cuts = if (fits) emptyMap() else planCuts(demands, capacity)
     }
--- a/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/LoanBook.kt
@@ -1,16 +1,10 @@
 package wigeonreel.limit
 
-/** What a daemon does with a request as to its account's limit. */
-sealed interface LimitDecision {
-    /** A token was spent. */
-    data object Spent : LimitDecision
-
-    /** No token is at hand; ask a holder for [wanted] under [loanId]. */
-    data class Borrow(
-        val loanId: Long,
-        val wanted: Int,
-    ) : LimitDecision
-}
+/** Loan to be asked of a holder: [wanted] tokens under [loanId]. */
+data class LoanWish(
+    val loanId: Long,
+    val wanted: Int,
+)
 
 /**
  * Tokens of one client account that a daemon has borrowed.
@@ -39,9 +33,6 @@
     private var arrivals = 0.0
     private var arrivalsAtMs = 0L
 
-    /** Tokens at hand. */
-    val available: Int get() = held.sumOf { it.tokens - it.spent }
-
     /** Whether an answer from a holder is awaited. */
     val asking: Boolean get() = asked.isNotEmpty()
 
@@ -63,10 +54,10 @@
     fun runsLow(nowMs: Long): Boolean = !asking && usable(nowMs) * 2 < wanted()
 
     /** Starts a loan request; returns its id and size. */
-    fun ask(nowMs: Long): LimitDecision.Borrow {
+    fun ask(nowMs: Long): LoanWish {
         val loanId = nextLoanId++
         asked[loanId] = nowMs
-        return LimitDecision.Borrow(loanId, wanted())
+        return LoanWish(loanId, wanted())
     }
 
     /** Takes a holder's answer; returns whether the tokens can be used. */
--- a/scenario/src/main/kotlin/wigeonreel/soak/LimitSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/LimitSoak.kt
@@ -36,19 +36,14 @@
 ) {
     private inner class Node(
         val number: Int,
-    ) {
+    ) : FakeProcess(queue, CLOCK_ERROR_MS) {
         val id = "d$number"
         val region = "r${number % REGIONS}"
-        val clockErrorMs = queue.random.nextLong(-CLOCK_ERROR_MS, CLOCK_ERROR_MS + 1)
-        var incarnation = 0L
-        var pausedUntilMs = 0L
         var isolatedUntilMs = 0L
         var known = Configuration.EMPTY
         lateinit var lender: SeatLender
         lateinit var loans: AccountLoans
 
-        fun clockMs() = queue.nowMs + clockErrorMs
-
         fun start() {
             incarnation++
             known = Configuration.EMPTY
@@ -57,11 +52,6 @@
             readStore()
         }
 
-        fun awake(action: () -> Unit) {
-            val live = incarnation
-            if (pausedUntilMs <= queue.nowMs) action() else queue.after(pausedUntilMs - queue.nowMs) { if (live == incarnation) action() }
-        }
-
         fun readStore() {
             if (!storeUp || isolatedUntilMs > queue.nowMs) return
             val startedMs = clockMs()
--- a/scenario/src/main/kotlin/wigeonreel/soak/OnceSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/OnceSoak.kt
@@ -30,15 +30,10 @@
 ) {
     private inner class Node(
         val number: Int,
-    ) {
+    ) : FakeProcess(queue, CLOCK_ERROR_MS) {
         val id = "d$number"
-        val clockErrorMs = queue.random.nextLong(-CLOCK_ERROR_MS, CLOCK_ERROR_MS + 1)
-        var incarnation = 0L
-        var pausedUntilMs = 0L
         lateinit var records: ExecutionRecords<String>
 
-        fun clockMs() = queue.nowMs + clockErrorMs
-
         fun start() {
             incarnation++
             val startedAtMs = if (sabotage == OnceSabotage.NO_RESTART_RULE) 0 else clockMs()
@@ -46,12 +41,6 @@
             readStore()
         }
 
-        /** Does [action] now, or when the pause is over, unless the process was replaced meanwhile. */
-        fun awake(action: () -> Unit) {
-            val live = incarnation
-            if (pausedUntilMs <= queue.nowMs) action() else queue.after(pausedUntilMs - queue.nowMs) { if (live == incarnation) action() }
-        }
-
         fun readStore() {
             val startedMs = clockMs()
             val live = incarnation
