--- a/core/src/main/kotlin/wigeonreel/config/ConfigEntries.kt
+++ b/core/src/main/kotlin/wigeonreel/config/ConfigEntries.kt
@@ -29,7 +29,11 @@
     AT_MOST_ONCE,
 }
 
-/** Client account with its fleet-wide limit; [ratePerSecond] and [burst] count requests. */
+/**
+ * Client account with its fleet-wide limit; [ratePerSecond] and [burst] count requests, a rate of 0 means no limit.
+ *
+ * @param priority rank of the account's requests, 0 is the most urgent; null leaves it to the route.
+ */
 @Serializable
 data class AccountConfig(
     val name: String,
@@ -37,6 +41,7 @@
     val burst: Double,
     val weight: Double = 1.0,
     val labels: Map<String, String> = emptyMap(),
+    val priority: Int? = null,
 )
 
 /** Granted key: its hash and the account that it stands for. */
@@ -69,6 +74,36 @@
     val open: Boolean = false,
 )
 
+/** Service that a route leads to, with its share of the route's requests. */
+@Serializable
+data class RouteTarget(
+    val service: String,
+    val weight: Double = 1.0,
+)
+
+/**
+ * Route from a host and a path prefix to services.
+ *
+ * @param timeoutMs longest time that a request is kept waiting for its final answer.
+ * @param objectiveMs time within which an answer has its full worth.
+ * @param priority rank among the routes, 0 is the most urgent.
+ * @param attempts most servers that one request may be sent to.
+ * @param open whether requests without a key are let in.
+ */
+@Serializable
+data class RouteConfig(
+    val name: String,
+    val host: String,
+    val prefix: String,
+    val targets: List<RouteTarget>,
+    val harm: Harm,
+    val timeoutMs: Long,
+    val objectiveMs: Long,
+    val priority: Int,
+    val attempts: Int,
+    val open: Boolean,
+)
+
 /** One versioned entry of the configuration; a null [value] is the tombstone of a removed entry. */
 @Serializable
 data class ConfigEntry(
--- a/core/src/main/kotlin/wigeonreel/config/Configuration.kt
+++ b/core/src/main/kotlin/wigeonreel/config/Configuration.kt
@@ -57,6 +57,9 @@
     /** Seats that hold the shares of the account limits, by name. */
     val seats: Map<String, Seat> get() = index.seats
 
+    /** Routes by host and path. */
+    val routes: RouteTable get() = index.routes
+
     /** Rules in the order in which they are tried. */
     val rules: List<Rule> get() = index.rules
 
@@ -114,6 +117,7 @@
     val rules: List<Rule> = emptyList(),
     val homeSets: Map<String, HomeSet> = emptyMap(),
     val seats: Map<String, Seat> = emptyMap(),
+    val routes: RouteTable = RouteTable(emptyList()),
 )
 
 private val json = Json { ignoreUnknownKeys = true }
@@ -128,6 +132,7 @@
         val rules = mutableListOf<Rule>()
         val homeSets = mutableMapOf<String, HomeSet>()
         val seats = mutableMapOf<String, Seat>()
+        val routes = mutableListOf<RouteConfig>()
         for (entry in entries) {
             val value = entry.value ?: continue
             when (entry.name.substringBefore('/')) {
@@ -137,12 +142,14 @@
                 "rule" -> rules += ruleOf(entry.name, read<RuleConfig>(entry.name, value).bind()).bind()
                 "home" -> read<HomeSet>(entry.name, value).bind().also { homeSets[it.service] = it }
                 "seat" -> read<Seat>(entry.name, value).bind().also { seats[it.name] = it }
+                "route" -> routes += checkRoute(entry.name, read<RouteConfig>(entry.name, value).bind()).bind()
                 else -> raise(ConfigError.UnknownKind(entry.name))
             }
         }
         keys.forEach { (key, entry) -> if (key.account !in accounts) raise(ConfigError.NoSuchAccount(entry, key.account)) }
         val order = compareBy<Rule>({ it.config.order }, { it.config.name })
-        ConfigIndex(accounts, keys.keys.associate { it.hash to it.account }, services, rules.sortedWith(order), homeSets, seats)
+        val accountByHash = keys.keys.associate { it.hash to it.account }
+        ConfigIndex(accounts, accountByHash, services, rules.sortedWith(order), homeSets, seats, RouteTable(routes))
     }
 
 private fun checkAccount(entry: String, account: AccountConfig): Either<ConfigError, AccountConfig> =
@@ -154,6 +161,15 @@
         else -> account.right()
     }
 
+private fun checkRoute(entry: String, route: RouteConfig): Either<ConfigError, RouteConfig> =
+    when {
+        route.targets.isEmpty() || route.targets.any { !(it.weight >= 0.0) } || route.targets.none { it.weight > 0.0 } ->
+            ConfigError.OutOfRange(entry, "targets must name a service and weights from 0 up, one above 0").left()
+        route.timeoutMs < 1 -> ConfigError.OutOfRange(entry, "timeoutMs must be above 0").left()
+        !route.prefix.startsWith('/') -> ConfigError.OutOfRange(entry, "prefix must begin with a slash").left()
+        else -> route.right()
+    }
+
 private fun ruleOf(entry: String, config: RuleConfig): Either<ConfigError, Rule> =
     parseSelector(config.selector)
         .mapLeft { ConfigError.BadValue(entry, it.message) }
--- a/core/src/main/kotlin/wigeonreel/membership/Membership.kt
+++ b/core/src/main/kotlin/wigeonreel/membership/Membership.kt
@@ -119,6 +119,7 @@
             outgoing += Outgoing(target.address, message(GossipKind.PING, started.sequence))
         }
         if (isBridge()) remotePeer()?.let { outgoing += Outgoing(it.address, message(GossipKind.PING, ++sequence)) }
+        lostPeer()?.let { outgoing += Outgoing(it.address, message(GossipKind.PING, ++sequence)) }
         return outgoing
     }
 
@@ -197,8 +198,9 @@
     }
 
     private fun refuteIfNeeded(said: Member) {
-        if (said.incarnation != self.incarnation || !said.supersedes(self)) return
-        updateSelf(self.copy(revision = said.revision + 1))
+        if (said.incarnation < self.incarnation || !said.supersedes(self)) return
+        val foreignLife = said.incarnation > self.incarnation || (said.state == MemberState.LEFT && self.state != MemberState.LEFT)
+        updateSelf(self.copy(incarnation = said.incarnation + (if (foreignLife) 1 else 0), revision = said.revision + 1))
     }
 
     private fun updateSelf(next: Member) {
@@ -256,6 +258,9 @@
 
     private fun remotePeer() = view.members.filter { it.live && it.place.region != self.place.region }.randomOrNull(random)
 
+    /** A daemon that was taken for dead may have returned and know nobody, or have been cut off. */
+    private fun lostPeer() = goneAtMs.keys.randomOrNull(random)?.let { view[it] }
+
     private fun isBridge() = peers().count { bridgeWeight(it.id) < bridgeWeight(self.id) } < policy.bridges
 
     private fun maxSends() = SENDS_FACTOR * ceil(log2(view.size + 1.0)).toInt()
--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -49,6 +49,8 @@
         var reportedAtMs = 0L
         var failures = 0
         var ejectedUntilMs = 0L
+        var failureShare = 0.0
+        var outcomeAtMs = 0L
     }
 
     private val servers = HashMap<String, ServerState>()
@@ -90,6 +92,14 @@
         state.ejectedUntilMs = nowMs + (EJECT_MS shl (state.failures - FAILURES_TO_EJECT).coerceAtMost(MAX_EJECT_DOUBLINGS))
     }
 
+    /** Notes whether the server beside [daemon] served a request or failed it. */
+    fun onOutcome(daemon: String, served: Boolean, nowMs: Long) {
+        val state = stateOf(daemon)
+        state.failureShare = fadedFailures(state, nowMs)
+        state.outcomeAtMs = nowMs
+        state.failureShare += ((if (served) 0.0 else 1.0) - state.failureShare) * FAILURE_WEIGHT
+    }
+
     /** Notes that the caller left before the reply came. */
     fun onCancelled(daemon: String) {
         stateOf(daemon).outstanding--
@@ -111,7 +121,14 @@
         val state = servers[candidate.daemon] ?: return 0.0
         val own = state.outstanding.toDouble() / candidate.slots.coerceAtLeast(1)
         val fresh = nowMs - state.reportedAtMs < REPORT_VALID_MS
-        return if (fresh) maxOf(own, state.reportedLoad) else own
+        val load = if (fresh) maxOf(own, state.reportedLoad) else own
+        return load + (fadedFailures(state, nowMs) - TOLERATED_FAILURES).coerceAtLeast(0.0) * FAILURE_PENALTY
+    }
+
+    /** Old failures fade, so that a server that got no requests is tried again. */
+    private fun fadedFailures(state: ServerState, nowMs: Long): Double {
+        val age = (nowMs - state.outcomeAtMs).toDouble() / FAILURE_MEMORY_MS
+        return state.failureShare * (1.0 - age).coerceIn(0.0, 1.0)
     }
 
     private fun penalty(distance: Distance) = distance.ordinal * DISTANCE_PENALTY
@@ -122,6 +139,18 @@
         const val SPILL_LOAD = 0.75
         const val DISTANCE_PENALTY = 0.1
         const val REPORT_VALID_MS = 200L
+
+        /** Weight of one outcome in the share of failures; twenty outcomes replace most of the past. */
+        const val FAILURE_WEIGHT = 0.05
+
+        /** Time in which failures fade while nothing is heard of a server, in milliseconds. */
+        const val FAILURE_MEMORY_MS = 4_000L
+
+        /** Share of failures that is normal; servers fail some requests for reasons of their own. */
+        const val TOLERATED_FAILURES = 0.05
+
+        /** A server that fails half of its requests counts as filled once over. */
+        const val FAILURE_PENALTY = 2.0
         const val FAILURES_TO_EJECT = 2
         const val EJECT_MS = 500L
         const val MAX_EJECT_DOUBLINGS = 5
--- a/platform/src/main/kotlin/wigeonreel/platform/TableService.kt
+++ b/core/src/main/kotlin/wigeonreel/store/TableService.kt
@@ -1,4 +1,4 @@
-package wigeonreel.platform
+package wigeonreel.store
 
 import arrow.core.Either
 
@@ -17,16 +17,24 @@
 
 /** Result of reading a row. */
 sealed interface RowRead {
+    /** Newest version of the whole store at the moment of the read, from which a watch can go on. */
+    val storeVersion: Long
+
     /** The row as stored. */
     data class Found(
         val row: Row,
+        override val storeVersion: Long = row.version,
     ) : RowRead
 
     /** The row still has the version that the reader knows. */
-    data object Unchanged : RowRead
+    data class Unchanged(
+        override val storeVersion: Long,
+    ) : RowRead
 
     /** There is no such row. */
-    data object Absent : RowRead
+    data class Absent(
+        override val storeVersion: Long,
+    ) : RowRead
 }
 
 /** Result of a conditional write. */
@@ -68,6 +76,18 @@
     }
 }
 
+/** Changes of one table in the order in which they were made. */
+sealed interface TableChanges {
+    /** Changes up to [version]; [rows] holds the rows that were written, removed rows are left out. */
+    data class Seen(
+        val rows: List<Row>,
+        val version: Long,
+    ) : TableChanges
+
+    /** The history after the asked version is no longer kept; read the rows instead. */
+    data object Forgotten : TableChanges
+}
+
 /** The platform's transactional table service. Callbacks come on the caller's event loop. */
 interface TableService {
     /** Reads a row, unless it still has [knownVersion]. */
@@ -81,4 +101,7 @@
 
     /** Reads up to [limit] rows of [table] whose names follow [after]. */
     fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, List<Row>>) -> Unit)
+
+    /** Waits up to [waitMs] for changes of [table] after [version]; answers with no rows when there were none. */
+    fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit)
 }
--- a/daemon/src/main/kotlin/wigeonreel/control/ConfigKeeper.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ConfigKeeper.kt
@@ -14,12 +14,14 @@
 import wigeonreel.config.toJson
 import wigeonreel.daemon.Clock
 import wigeonreel.kernel.Log
-import wigeonreel.platform.RowName
-import wigeonreel.platform.RowRead
-import wigeonreel.platform.RowWrite
-import wigeonreel.platform.StoreError
-import wigeonreel.platform.TableService
+import wigeonreel.store.RowName
+import wigeonreel.store.RowRead
+import wigeonreel.store.RowWrite
+import wigeonreel.store.StoreError
+import wigeonreel.store.TableChanges
+import wigeonreel.store.TableService
 import java.util.UUID
+import java.util.concurrent.ThreadLocalRandom
 
 /** Result of a configuration write. */
 sealed interface WriteResult {
@@ -47,14 +49,28 @@
 /** Row of the table service that holds the configuration. */
 val CONFIG_ROW: RowName = RowName("config", "current")
 
+/** Where the configuration stands in the store and how its text is read. */
+class ConfigFormat(
+    val row: RowName,
+    val parse: (String) -> Either<ConfigError, ConfigDocument>,
+)
+
+/** Configuration as this product's operators write it. */
+val OWN_FORMAT: ConfigFormat = ConfigFormat(CONFIG_ROW, ::parseDocument)
+
 /** One daemon's configuration: its replica, reads from the store, and writes by compare-and-set. */
 class ConfigKeeper(
     private val table: TableService,
     private val clock: Clock,
+    private val format: ConfigFormat = OWN_FORMAT,
     private val onChange: () -> Unit,
 ) {
     private val log = Log("config")
     private var storedRow = 0L
+    private var watchFrom = 0L
+    private var following = false
+    private var followAtMs = 0L
+    private var storeLost = false
 
     /** Replica that only moves to higher versions. */
     val replica = ConfigReplica()
@@ -76,33 +92,76 @@
     }
 
     /** Reads the store once; [onRead] gets whether it answered. */
-    fun poll(onRead: (Boolean) -> Unit = {}) {
+    fun poll(onRead: (Boolean) -> Unit = {}) = read { onRead(it != null) }
+
+    /** Keeps watching the store for changes; to be called often, does nothing while a call is open. */
+    fun follow(nowMs: Long) {
+        if (following || nowMs < followAtMs) return
+        following = true
+        if (watchFrom == 0L) read { onFollowed(it) } else watch()
+    }
+
+    private fun read(onVersion: (Long?) -> Unit) {
         val startedMs = clock.nowMs()
-        table.read(CONFIG_ROW, storedRow) { result ->
-            onRead(result.isRight())
-            result.fold({ log.info("poll failed: ${it.message}") }, { onRead(it, startedMs) })
+        table.read(format.row, storedRow) { result ->
+            result.fold({ onStoreLost(it) }, { onRead(it, startedMs) })
+            onVersion(result.getOrNull()?.storeVersion)
         }
     }
 
+    private fun watch() {
+        val startedMs = clock.nowMs()
+        table.watch(format.row.table, watchFrom, WATCH_MS) { result ->
+            result.onLeft { onStoreLost(it) }
+            val seen = result.getOrNull() as? TableChanges.Seen
+            seen?.let { onSeen(it, startedMs) }
+            onFollowed(seen?.version)
+        }
+    }
+
+    /** After a lost call or a forgotten history the row itself is read again, and once more later in case that read was old. */
+    private fun onFollowed(version: Long?) {
+        following = false
+        watchFrom = version ?: 0
+        followAtMs = if (version == null) clock.nowMs() + RETRY_MS + ThreadLocalRandom.current().nextLong(RETRY_MS) else 0
+    }
+
+    private fun onSeen(seen: TableChanges.Seen, startedMs: Long) {
+        onStoreHeard()
+        provenAtMs = maxOf(provenAtMs, startedMs)
+        seen.rows.lastOrNull { it.name == format.row }?.let { takeDocument(RowRead.Found(it), startedMs) }
+    }
+
+    private fun onStoreHeard() {
+        storeHeardAtMs = clock.nowMs()
+        if (storeLost) log.info("the store answers again")
+        storeLost = false
+    }
+
+    private fun onStoreLost(error: StoreError) {
+        if (!storeLost) log.warn("the store is lost: ${error.message}")
+        storeLost = true
+    }
+
     /** Applies [edits] to the version in force, if the store has that version. */
     fun write(edits: List<ConfigEdit>, expectedVersion: Long?, onResult: (WriteResult) -> Unit) {
         val operation = UUID.randomUUID().toString()
-        table.read(CONFIG_ROW, 0) { result ->
+        table.read(format.row, 0) { result ->
             result.fold({ onResult(WriteResult.NotStored(it)) }, { writeOver(it, edits, expectedVersion, operation, onResult) })
         }
     }
 
     private fun onRead(read: RowRead, startedMs: Long) {
-        storeHeardAtMs = clock.nowMs()
+        onStoreHeard()
         when (read) {
-            RowRead.Absent -> Unit
-            RowRead.Unchanged -> provenAtMs = maxOf(provenAtMs, startedMs)
+            is RowRead.Absent -> Unit
+            is RowRead.Unchanged -> provenAtMs = maxOf(provenAtMs, startedMs)
             is RowRead.Found -> takeDocument(read, startedMs)
         }
     }
 
     private fun takeDocument(found: RowRead.Found, startedMs: Long) {
-        val document = parseDocument(found.row.value).getOrElse { return log.warn("the stored configuration can't be read: ${it.message}") }
+        val document = format.parse(found.row.value).getOrElse { return log.warn("the stored configuration can't be read: ${it.message}") }
         if (document.version < replica.current.version) {
             return log.warn("the store answers version ${document.version}, older than ${replica.current.version} in force; it is ignored")
         }
@@ -138,7 +197,7 @@
     }
 
     private fun baseOf(read: RowRead): Either<ConfigError, ConfigDocument> =
-        if (read is RowRead.Found) parseDocument(read.row.value) else ConfigDocument(0).right()
+        if (read is RowRead.Found) format.parse(read.row.value) else ConfigDocument(0).right()
 
     private fun planOver(base: ConfigDocument, edits: List<ConfigEdit>, expected: Long?): Either<ConfigError, Configuration> {
         if (base.version < replica.current.version) return ConfigError.VersionConflict(replica.current.version, base.version).left()
@@ -153,7 +212,7 @@
         attempts: Int,
         onResult: (WriteResult) -> Unit,
     ) {
-        table.write(CONFIG_ROW, document.toJson(), rowVersion) { result ->
+        table.write(format.row, document.toJson(), rowVersion) { result ->
             result.fold(
                 { error -> resolve(document, rowVersion, operation, attempts, error, onResult) },
                 { written ->
@@ -176,9 +235,9 @@
         onResult: (WriteResult) -> Unit,
     ) {
         if (error is StoreError.Unavailable && attempts == ATTEMPTS) return onResult(WriteResult.NotStored(error))
-        table.read(CONFIG_ROW, 0) { result ->
+        table.read(format.row, 0) { result ->
             val found = result.getOrNull() as? RowRead.Found
-            val now = found?.let { parseDocument(it.row.value).getOrNull() }
+            val now = found?.let { format.parse(it.row.value).getOrNull() }
             when {
                 now != null && now.operations.any { it.id == operation } -> stored(document, onResult)
                 now != null && found.row.version != rowVersion -> onResult(conflict(document, now))
@@ -199,5 +258,11 @@
 
     private companion object {
         const val ATTEMPTS = 5
+
+        /** Longest wait of one watch, in milliseconds; also the time after which a silent connection is noticed. */
+        const val WATCH_MS = 3_000L
+
+        /** Pause after a failed call, in milliseconds, doubled at random so that daemons do not return together. */
+        const val RETRY_MS = 250L
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -17,10 +17,10 @@
 import wigeonreel.membership.MembershipPolicy
 import wigeonreel.membership.PeerAddress
 import wigeonreel.membership.ServerInfo
-import wigeonreel.platform.TableService
 import wigeonreel.steward.StewardPolicy
 import wigeonreel.steward.isSteward
 import wigeonreel.steward.planStewardship
+import wigeonreel.store.TableService
 import java.net.InetSocketAddress
 import java.util.concurrent.ThreadLocalRandom
 import java.util.concurrent.TimeUnit
@@ -36,12 +36,25 @@
     val changed: Boolean,
 )
 
+/**
+ * What a control duty does besides membership.
+ *
+ * @param format configuration in the store.
+ * @param ownsConfiguration whether daemons write home sets and seats into the configuration and push small changes of it;
+ *   otherwise the platform's operators write it whole, and daemons watch the store and fetch whole versions from peers.
+ */
+class ControlPolicy(
+    val format: ConfigFormat = OWN_FORMAT,
+    val ownsConfiguration: Boolean = true,
+)
+
 /** Control duty: membership, configuration, stewardship. Its functions belong to the control thread. */
 class ControlService(
     private val loop: EventLoopGroup,
     self: Member,
     table: TableService,
     private val clock: Clock,
+    private val policy: ControlPolicy,
     private val fetchConfig: (PeerAddress, Long, (ConfigDelta) -> Unit) -> Unit,
     private val publish: (Publication) -> Unit,
 ) : Service {
@@ -54,13 +67,15 @@
     private var publishedChanges = -1L
     private var publishedVersion = -1L
     private var nextPollMs = 0L
+    private var nextSeedsMs = 0L
+    private var seedReads = 0
     private var nextStewardMs = 0L
     private var writing = false
     private var fetchingUntilMs = 0L
     private var deltaBase = 0L
 
     /** Configuration of this daemon. */
-    val keeper = ConfigKeeper(table, clock) { onConfigChange() }
+    val keeper = ConfigKeeper(table, clock, policy.format) { onConfigChange() }
 
     /** Members of the fleet as known here. */
     val members: Collection<Member> get() = membership.view.members
@@ -111,15 +126,20 @@
 
     private fun begin() {
         registry.announce(membership.self)
-        registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
-        keeper.poll()
+        if (policy.ownsConfiguration) keeper.poll()
     }
 
     private fun tick() {
         val nowMs = clock.nowMs()
         socket.send(membership.tick(nowMs))
-        if (nowMs >= nextPollMs) poll(nowMs)
-        if (nowMs >= nextStewardMs) steward(nowMs)
+        if (nowMs >= nextSeedsMs) readSeeds(nowMs)
+        if (policy.ownsConfiguration) {
+            if (nowMs >= nextPollMs) poll(nowMs)
+            if (nowMs >= nextStewardMs) steward(nowMs)
+        } else {
+            keeper.follow(nowMs)
+            attach()
+        }
         publishNow(nowMs)
     }
 
@@ -127,7 +147,13 @@
         val intervalMs = if (!keeper.replica.ready || isPoller()) POLLER_INTERVAL_MS else OTHERS_INTERVAL_MS
         nextPollMs = nowMs + intervalMs / 2 + ThreadLocalRandom.current().nextLong(intervalMs)
         keeper.poll { attach() }
-        if (membership.view.size == 1) registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
+    }
+
+    /** Daemons that start together see each other's rows only on a later read; a rare read joins parts of a fleet that lost each other. */
+    private fun readSeeds(nowMs: Long) {
+        val alone = membership.view.size == 1
+        nextSeedsMs = nowMs + if (alone) SEEDS_ALONE_MS else SEEDS_MS.getOrElse(seedReads++) { SEEDS_MS.last() }
+        registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
     }
 
     /** A few daemons of each failure domain read the store often; the others learn by gossip. */
@@ -162,7 +188,11 @@
     private fun fetch(from: PeerAddress, nowMs: Long) {
         if (nowMs < fetchingUntilMs) return
         fetchingUntilMs = nowMs + FETCH_INTERVAL_MS
-        fetchConfig(from, keeper.replica.current.version) { delta -> loop.execute { guarded { keeper.offer(delta) } } }
+        fetchConfig(from, if (policy.ownsConfiguration) keeper.replica.current.version else 0) { delta ->
+            loop.execute {
+                guarded { keeper.offer(delta) }
+            }
+        }
     }
 
     private fun onConfigChange() {
@@ -179,7 +209,8 @@
             GossipAttachment(
                 ConfigProof(current.version, keeper.provenAtMs),
                 delta.takeIf {
-                    small &&
+                    policy.ownsConfiguration &&
+                        small &&
                         delta.entries.isNotEmpty()
                 },
             ),
@@ -208,6 +239,8 @@
         const val POLLERS_PER_DOMAIN = 2
         const val STEWARD_INTERVAL_MS = 1_000L
         const val STEWARD_ALONE_AFTER_MS = 5_000L
+        const val SEEDS_ALONE_MS = 1_000L
+        val SEEDS_MS = listOf(700L, 1_500L, 3_000L, 30_000L)
         const val FETCH_INTERVAL_MS = 200L
         const val DELTA_VERSIONS = 8L
         const val MAX_DELTA_CHARS = 900
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -6,9 +6,9 @@
 import wigeonreel.membership.GossipKind
 import wigeonreel.membership.GossipMessage
 import wigeonreel.membership.Member
-import wigeonreel.platform.Row
-import wigeonreel.platform.RowName
-import wigeonreel.platform.TableService
+import wigeonreel.store.Row
+import wigeonreel.store.RowName
+import wigeonreel.store.TableService
 import java.util.Base64
 
 /** Announcements of the daemons in the table service, from which a starting daemon learns its first peers. */
--- a/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
@@ -2,12 +2,14 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.EventLoopGroup
 import wigeonreel.admin.AdminActions
 import wigeonreel.admin.AdminApi
 import wigeonreel.admin.DaemonStatus
 import wigeonreel.admin.MemberStatus
 import wigeonreel.codec.toCore
 import wigeonreel.codec.toWire
+import wigeonreel.control.ControlPolicy
 import wigeonreel.control.ControlService
 import wigeonreel.control.Publication
 import wigeonreel.drain.DrainState
@@ -25,8 +27,8 @@
 import wigeonreel.peer.PeerClients
 import wigeonreel.peer.PeerEndpoint
 import wigeonreel.peer.PeerHandler
-import wigeonreel.platform.HttpTableService
 import wigeonreel.routing.Router
+import wigeonreel.store.TableService
 import wigeonreel.traffic.ContextTable
 import wigeonreel.traffic.Dispatcher
 import wigeonreel.traffic.EntryService
@@ -42,9 +44,11 @@
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
 import wigeonreel.wire.ConfigReceipt
+import wigeonreel.wire.DemandReport
 import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
+import wigeonreel.wire.RateGrants
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -53,6 +57,7 @@
 /** One daemon: puts the services together and joins the traffic duty and the control duty. */
 class Daemon(
     private val settings: DaemonSettings,
+    connectTable: (EventLoopGroup) -> TableService,
     private val clock: Clock = SYSTEM_CLOCK,
 ) {
     private val log = Log("daemon")
@@ -73,13 +78,8 @@
     private val dispatcher =
         kernel.register(Dispatcher(settings.id, state, Router(Random(incarnation)), peers, metrics, clock) { onUnreachable(it) })
     private val entry = kernel.register(EntryService(settings.traffic, state, contexts, limits, dispatcher, metrics, clock))
-    private val table =
-        HttpTableService(
-            HttpConnector(control, settings.http.copy(maxBodyBytes = STORE_ANSWER_BYTES)),
-            settings.platform.tableAddress,
-            settings.platform.timeoutMs,
-        )
-    private val fleet = kernel.register(ControlService(control, self(), table, clock, ::fetchConfig, ::publish))
+    private val table = connectTable(control)
+    private val fleet = kernel.register(ControlService(control, self(), table, clock, ControlPolicy(), ::fetchConfig, ::publish))
     private val drained = CountDownLatch(1)
 
     init {
@@ -182,6 +182,9 @@
 
         override fun block(request: BlockRequest) = home.block(request)
 
+        /** Limits of this interface are lent through seats; no rates are shared. */
+        override fun share(request: DemandReport): RateGrants = RateGrants.getDefaultInstance()
+
         override fun borrow(request: BorrowRequest) = limits.lend(request)
 
         override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
@@ -231,7 +234,6 @@
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val MESSAGE_OVERHEAD_BYTES = 65_536
-        const val STORE_ANSWER_BYTES = 16 * 1024 * 1024
         const val TICK_MS = 100L
         const val ANNOUNCEMENT_VALID_MS = 3_000L
         const val CONTROL_TIMEOUT_MS = 2_000L
--- a/daemon/src/main/kotlin/wigeonreel/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/DaemonSettings.kt
@@ -2,6 +2,7 @@
 
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpLimits
+import wigeonreel.http.address
 import wigeonreel.place.Place
 import wigeonreel.settings.SettingsReader
 
@@ -78,11 +79,6 @@
         drainTimeoutMs = whole("traffic.drain_timeout_ms", TIMEOUT_RANGE_MS, 30_000),
     )
 
-private fun SettingsReader.address(key: String): HttpAddress {
-    val found = text(key, expected = "an address as host:port")
-    return HttpAddress.parse(found) ?: HttpAddress("invalid", 1).also { if (found.isNotEmpty()) reject(key, "an address as host:port") }
-}
-
 private fun SettingsReader.idOf(id: String): String {
     if (id.isEmpty() || id.any { it == '~' || it == '/' || it.isWhitespace() }) reject("id", "a name without '~', '/' and spaces")
     return id
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -0,0 +1,262 @@
+package wigeonreel.mesh
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.EventLoopGroup
+import wigeonreel.backend.BackendReport
+import wigeonreel.backend.ReportOutcome
+import wigeonreel.codec.toCore
+import wigeonreel.codec.toWire
+import wigeonreel.control.ControlPolicy
+import wigeonreel.control.ControlService
+import wigeonreel.control.Publication
+import wigeonreel.daemon.Clock
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpExchange
+import wigeonreel.http.HttpFault
+import wigeonreel.http.HttpHandler
+import wigeonreel.http.HttpListener
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.dutyLoop
+import wigeonreel.http.textResponse
+import wigeonreel.kernel.EventLog
+import wigeonreel.kernel.Kernel
+import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
+import wigeonreel.membership.PeerAddress
+import wigeonreel.membership.ServerInfo
+import wigeonreel.peer.PeerClients
+import wigeonreel.peer.PeerEndpoint
+import wigeonreel.peer.PeerHandler
+import wigeonreel.retry.RepeatBudget
+import wigeonreel.routing.Router
+import wigeonreel.store.TableService
+import wigeonreel.traffic.FleetView
+import wigeonreel.wire.BlockReply
+import wigeonreel.wire.BlockRequest
+import wigeonreel.wire.BorrowReply
+import wigeonreel.wire.BorrowRequest
+import wigeonreel.wire.ConfigDelta
+import wigeonreel.wire.ConfigReceipt
+import wigeonreel.wire.DemandReport
+import wigeonreel.wire.FetchConfigRequest
+import wigeonreel.wire.ForwardReply
+import wigeonreel.wire.ForwardRequest
+import wigeonreel.wire.RateGrants
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** How a platform is spoken to: its callers, its backend servers, its configuration and its store. */
+class MeshPlatform(
+    val callers: CallerProtocol,
+    val servers: ServerProtocol,
+    val control: ControlPolicy,
+    val connectTable: (EventLoopGroup) -> TableService,
+)
+
+/** Takes what the backend server beside a daemon says of itself. */
+interface BackendReports {
+    /** Takes a report; returns what it changed. */
+    fun report(report: BackendReport): ReportOutcome
+
+    /** Takes the word that the server [instance] leaves for good. */
+    fun leave(instance: String, startedAtMs: Long?)
+}
+
+/** Daemon on a platform that brings its own protocols: puts the services together and joins its two duties. */
+class MeshDaemon(
+    private val settings: MeshSettings,
+    private val platform: MeshPlatform,
+    private val clock: Clock,
+    reports: (BackendReports) -> HttpHandler,
+) {
+    private val kernel = Kernel()
+    private val traffic = dutyLoop("traffic")
+    private val control = dutyLoop("control")
+    private val incarnation = clock.nowMs()
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val log = kernel.register(EventLog())
+    private val events = MeshEvents(log, registry, clock)
+    private val state = MeshState()
+    private val router = Router(Random(incarnation))
+    private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
+    private val guard =
+        kernel.register(MeshGuard(state, platform.servers, HttpConnector(traffic, settings.http), events, clock, ::announce))
+    private val budget = RepeatBudget(settings.repeatRatio * REPEAT_SHARE, REPEAT_RESERVE)
+    private val sender =
+        kernel.register(
+            MeshSender(traffic, settings.id, state, router, budget, peers, guard, events, clock) { id ->
+                control.execute { fleet.onUnreachable(id) }
+            },
+        )
+    private val entry =
+        kernel.register(MeshEntry(state, platform.callers, MeshQuota(state, incarnation), sender, events, clock))
+    private val fleet =
+        kernel.register(
+            ControlService(control, self(), platform.connectTable(control), clock, platform.control, ::fetchConfig, ::publish),
+        )
+    private var announcedReady = false
+
+    init {
+        val limit = settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES
+        kernel.register(PeerEndpoint(traffic, InetSocketAddress(settings.peers.host, settings.peers.port), limit, PeerCalls()))
+        listen("caller-listener", settings.callers, entry)
+        listen("control-listener", settings.control, reports(Reports()))
+        listen("readiness-listener", settings.readiness, PageHandler { readiness() })
+        listen("metrics-listener", settings.metrics, PageHandler { textResponse(OK, registry.scrape()) })
+        gauge("wigeon.backend.running") { guard.running }
+        gauge("wigeon.backend.waiting") { guard.waiting }
+        gauge("wigeon.config.version") { state.view?.configuration?.version ?: 0 }
+        gauge("wigeon.fleet.daemons") { state.view?.knownDaemons ?: 0 }
+        gauge("wigeon.log.dropped") { log.dropped }
+    }
+
+    /** Starts all services. */
+    fun start() {
+        kernel.start()
+        traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        events.changed("start", "id=${settings.id} incarnation=$incarnation service=${settings.place}")
+    }
+
+    /** Leaves: tells callers and peers, goes on serving until nothing is open or the grace period ends, then stops. */
+    fun leaveAndStop() {
+        val startedNs = System.nanoTime()
+        traffic.execute {
+            state.leaving = true
+            announce()
+        }
+        control.execute { fleet.leave(MemberState.LEAVING) }
+        events.changed("stop", "leaving")
+        while (!mayStop((System.nanoTime() - startedNs) / NS_PER_MS)) Thread.sleep(STOP_POLL_MS)
+        events.changed("stopped", "inFlight=${state.inFlight}")
+        kernel.stop()
+    }
+
+    /** Notes that the settings were read again. */
+    fun onSettingsChanged(detail: String) = events.changed("reload", detail)
+
+    private fun mayStop(sinceMs: Long) =
+        sinceMs > settings.graceMs - GRACE_MARGIN_MS || (sinceMs > LEAVE_NOTICE_MS && traffic.submit<Int> { state.inFlight }.get() == 0)
+
+    private fun tick() {
+        val nowMs = clock.nowMs()
+        guard.sweep(nowMs)
+        if (announcedReady != state.backendReady(nowMs)) announce()
+    }
+
+    /** Tells the fleet of the backend server beside this daemon. */
+    private fun announce() {
+        val server = state.backend.current ?: return
+        announcedReady = state.backendReady(clock.nowMs())
+        val info = ServerInfo(server.service, server.slots, announcedReady)
+        control.execute { fleet.announce(info) }
+    }
+
+    private fun readiness() = if (state.ready(clock.nowMs())) textResponse(OK, "ready") else textResponse(UNAVAILABLE, "not ready")
+
+    private fun publish(publication: Publication) =
+        traffic.execute {
+            state.heardAtMs = publication.heardAtMs
+            val configuration = publication.configuration
+            if (publication.changed && configuration != null) {
+                val before = state.view?.configuration?.version
+                state.view = FleetView(publication.self, publication.members, configuration)
+                if (before != configuration.version) events.changed("config", "version=${configuration.version} before=$before")
+                peers.retain(publication.members.filter { it.live }.mapTo(HashSet()) { it.address })
+                router.retain(publication.members.mapTo(HashSet()) { it.id })
+            }
+        }
+
+    private fun fetchConfig(from: PeerAddress, afterVersion: Long, onDelta: (wigeonreel.config.ConfigDelta) -> Unit) =
+        traffic.execute {
+            val request = FetchConfigRequest.newBuilder().setAfterVersion(afterVersion).build()
+            peers.call(from, FETCH_TIMEOUT_MS, { it.fetchConfig(request) }) { delta, _ -> delta?.let { onDelta(it.toCore()) } }
+        }
+
+    private fun self() =
+        Member(
+            id = settings.id,
+            incarnation = incarnation,
+            revision = 0,
+            state = MemberState.ALIVE,
+            address = PeerAddress(settings.peers.host, settings.peers.port),
+            place = settings.place,
+            server = null,
+        )
+
+    private fun listen(name: String, address: HttpAddress, handler: HttpHandler) =
+        kernel.register(HttpListener(name, traffic, address.host, address.port, settings.http, handler))
+
+    private fun gauge(name: String, value: () -> Number) = Gauge.builder(name, value).register(registry)
+
+    private inner class Reports : BackendReports {
+        override fun report(report: BackendReport): ReportOutcome {
+            val outcome = state.backend.report(report)
+            events.reported(report, outcome)
+            if (outcome == ReportOutcome.NEW_SERVER) state.backendDownUntilMs = 0
+            if (outcome != ReportOutcome.OUTDATED) {
+                guard.onServer(report, outcome == ReportOutcome.NEW_SERVER)
+                announce()
+            }
+            return outcome
+        }
+
+        override fun leave(instance: String, startedAtMs: Long?) {
+            val current = state.backend.leave(instance, startedAtMs)
+            events.changed("backend-leaves", "instance=$instance current=$current")
+            if (current) announce()
+        }
+    }
+
+    private class PageHandler(
+        private val page: () -> HttpResponse,
+    ) : HttpHandler {
+        override fun handle(exchange: HttpExchange) = exchange.respond(page())
+
+        override fun reject(fault: HttpFault): HttpResponse = textResponse(BAD_REQUEST, "malformed request")
+    }
+
+    private inner class PeerCalls : PeerHandler {
+        override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) = guard.forward(request, onReply)
+
+        override fun share(report: DemandReport): RateGrants = RateGrants.getDefaultInstance()
+
+        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
+            val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
+            return current.deltaSince(request.afterVersion).toWire()
+        }
+
+        override fun offerConfig(delta: ConfigDelta, onReceipt: (ConfigReceipt) -> Unit) =
+            onReceipt(ConfigReceipt.newBuilder().setVersion(state.view?.configuration?.version ?: 0).build())
+
+        override fun block(request: BlockRequest): BlockReply = BlockReply.getDefaultInstance()
+
+        override fun borrow(request: BorrowRequest): BorrowReply = BorrowReply.getDefaultInstance()
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val UNAVAILABLE = 503
+        const val MESSAGE_OVERHEAD_BYTES = 65_536
+        const val TICK_MS = 20L
+        const val FETCH_TIMEOUT_MS = 1_000L
+        const val NS_PER_MS = 1_000_000L
+        const val STOP_POLL_MS = 50L
+
+        /** Least time between the request to stop and the end: callers look at readiness once a second and want two misses. */
+        const val LEAVE_NOTICE_MS = 2_500L
+
+        /** Time before the end of the grace period at which the process stops by itself, in milliseconds. */
+        const val GRACE_MARGIN_MS = 300L
+
+        /** Part of the fleet's ratio of repeats that daemons spend; repeats of a request repeat its calls too. */
+        const val REPEAT_SHARE = 0.25
+
+        /** Repeats that one daemon may send to one service at once after a quiet time. */
+        const val REPEAT_RESERVE = 1.0
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -0,0 +1,104 @@
+package wigeonreel.mesh
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import wigeonreel.config.AccountConfig
+import wigeonreel.config.Configuration
+import wigeonreel.config.RouteConfig
+import wigeonreel.daemon.Clock
+import wigeonreel.http.HttpExchange
+import wigeonreel.http.HttpFault
+import wigeonreel.http.HttpHandler
+import wigeonreel.http.HttpResponse
+import wigeonreel.kernel.Service
+import wigeonreel.key.KeyHash
+import wigeonreel.outcome.Ran
+import wigeonreel.outcome.Refusal
+import wigeonreel.routing.WeightedSplit
+
+/** Entry of requests from the callers on this VM and from its backend server. */
+class MeshEntry(
+    private val state: MeshState,
+    private val protocol: CallerProtocol,
+    private val quota: MeshQuota,
+    private val sender: MeshSender,
+    private val events: MeshEvents,
+    private val clock: Clock,
+) : Service,
+    HttpHandler {
+    override val name = "entry"
+    private val split = WeightedSplit()
+
+    override fun handle(exchange: HttpExchange) {
+        val nowMs = clock.nowMs()
+        protocol.read(exchange.request).fold({ refuse(exchange, null, it) }, { enter(exchange, it, nowMs) })
+    }
+
+    override fun reject(fault: HttpFault): HttpResponse {
+        val refusal =
+            when (fault) {
+                HttpFault.MALFORMED -> Refusal.MALFORMED_REQUEST
+                HttpFault.HEADERS_TOO_LARGE -> Refusal.HEADERS_TOO_LARGE
+                HttpFault.BODY_TOO_LARGE -> Refusal.BODY_TOO_LARGE
+            }
+        events.refused(null, refusal)
+        return protocol.refusal(refusal, 0)
+    }
+
+    private fun enter(exchange: HttpExchange, request: CallerRequest, nowMs: Long) =
+        accept(request, nowMs).fold({ refuse(exchange, request, it) }, { send(exchange, it) })
+
+    private fun accept(request: CallerRequest, nowMs: Long): Either<Refusal, MeshCall> =
+        either {
+            val view = ensureNotNull(state.view) { Refusal.ISOLATED }
+            ensure(request.key == null || !state.isolated(nowMs)) { Refusal.ISOLATED }
+            val route = ensureNotNull(view.configuration.routes.find(request.host, request.http.path)) { Refusal.ROUTE_UNKNOWN }
+            val account = accountOf(request, route, view.configuration).bind()
+            ensure(account == null || quota.admit(account, nowMs)) { Refusal.OVER_RATE }
+            val waitMs = minOf(request.waitMs ?: route.timeoutMs, route.timeoutMs)
+            val headers = protocol.headersFor(request, account)
+            MeshCall(request, route, split.next(route), account, headers, account == null, nowMs, nowMs + waitMs)
+        }
+
+    /** A key that is present is checked on open routes too. */
+    private fun accountOf(request: CallerRequest, route: RouteConfig, configuration: Configuration): Either<Refusal, AccountConfig?> =
+        when {
+            request.key != null -> configuration.accountOf(KeyHash.of(request.key))?.right() ?: Refusal.KEY_INVALID.left()
+            route.open -> null.right()
+            else -> Refusal.KEY_MISSING.left()
+        }
+
+    private fun send(exchange: HttpExchange, call: MeshCall) {
+        state.inFlight++
+        val cancel =
+            sender.send(call) { result ->
+                state.inFlight--
+                answer(exchange, call, result)
+            }
+        exchange.onAbort {
+            state.inFlight--
+            events.callerLeft(call, clock.nowMs())
+            cancel()
+        }
+    }
+
+    private fun answer(exchange: HttpExchange, call: MeshCall, result: MeshResult) {
+        events.answered(call, result, clock.nowMs())
+        when (result) {
+            is MeshResult.Answered -> exchange.respond(result.response, close = state.leaving)
+            is MeshResult.Refused -> {
+                if (result.refusal.ran == Ran.NOT_RUN && call.account != null) quota.giveBack(call.account)
+                exchange.respond(protocol.refusal(result.refusal, result.retryAfterMs), close = state.leaving)
+            }
+        }
+    }
+
+    private fun refuse(exchange: HttpExchange, request: CallerRequest?, refusal: Refusal) {
+        events.refused(request, refusal)
+        exchange.respond(protocol.refusal(refusal, refusal.retryAfterMs), close = state.leaving || refusal == Refusal.KEY_INVALID)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEvents.kt
@@ -0,0 +1,139 @@
+package wigeonreel.mesh
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import wigeonreel.backend.BackendReport
+import wigeonreel.backend.ReportOutcome
+import wigeonreel.daemon.Clock
+import wigeonreel.http.HttpResponse
+import wigeonreel.kernel.EventLog
+import wigeonreel.outcome.Refusal
+import wigeonreel.routing.RouteDecision
+import wigeonreel.wire.ForwardReply
+import wigeonreel.wire.ForwardRequest
+import wigeonreel.wire.Outcome
+import java.util.concurrent.TimeUnit
+
+/** Log lines and metrics of the path of requests, one line for each decision. */
+class MeshEvents(
+    private val log: EventLog,
+    private val registry: MeterRegistry,
+    private val clock: Clock,
+) {
+    private val counters = HashMap<String, Counter>()
+    private val answerTime = Timer.builder("wigeon.answer.time").publishPercentiles(MEDIAN, HIGH).register(registry)
+
+    /** Notes where a request is sent. */
+    fun placed(call: MeshCall, decision: RouteDecision, tried: Int) {
+        val id = call.request.id
+        if (tried == 0 && decision is RouteDecision.To && !sampled(id)) return
+        log.write("place", clock.nowMs()) {
+            put("id", id)
+            put("route", call.route.name)
+            put("service", call.service)
+            put("tried", tried.toLong())
+            put("decision", decision.logLine)
+        }
+    }
+
+    /** Notes what a guard did with a request, [heldMs] after it came. */
+    fun guarded(request: ForwardRequest, reply: ForwardReply, heldMs: Long) {
+        val served = reply.outcome == Outcome.ANSWERED && reply.status < SERVER_ERROR
+        count("wigeon.guard", if (reply.outcome == Outcome.ANSWERED) "answered" else reply.refusal)
+        if (served && !sampled(request.rootId)) return
+        log.write("guard", clock.nowMs()) {
+            put("id", request.rootId)
+            put("attempt", request.attemptId)
+            put("route", request.route)
+            put("begun", request.depth > 0)
+            put("priority", request.priority.toLong())
+            put("outcome", if (reply.outcome == Outcome.ANSWERED) "status ${reply.status}" else reply.refusal)
+            put("busy", reply.inFlight.toLong())
+            put("limit", reply.limit.toLong())
+            put("expectedWaitMs", reply.waitMs.toLong())
+            put("leftMs", request.timeoutMs.toLong())
+            put("heldMs", heldMs)
+        }
+    }
+
+    /** Notes the final answer of a request. */
+    fun answered(call: MeshCall, result: MeshResult, nowMs: Long) {
+        val tookMs = nowMs - call.arrivedAtMs
+        answerTime.record(tookMs, TimeUnit.MILLISECONDS)
+        val status = (result as? MeshResult.Answered)?.response?.status ?: 0
+        count("wigeon.answers", outcomeOf(result))
+        if (status in 1 until SERVER_ERROR && !sampled(call.request.id)) return
+        log.write("answer", nowMs) {
+            put("id", call.request.id)
+            put("route", call.route.name)
+            put("account", call.account?.name)
+            put("outcome", outcomeOf(result))
+            put("tookMs", tookMs)
+            put("timeoutMs", call.deadlineMs - call.arrivedAtMs)
+        }
+    }
+
+    /** Notes a request that was refused at the entry. */
+    fun refused(request: CallerRequest?, refusal: Refusal) {
+        count("wigeon.entry.refusals", refusal.wireName)
+        log.write("refuse", clock.nowMs()) {
+            put("id", request?.id)
+            put("host", request?.host)
+            put("path", request?.http?.path)
+            put("reason", refusal.wireName)
+        }
+    }
+
+    /** Notes a caller that left before its answer. */
+    fun callerLeft(call: MeshCall, nowMs: Long) {
+        count("wigeon.answers", "caller-left")
+        if (!sampled(call.request.id)) return
+        log.write("caller-left", nowMs) {
+            put("id", call.request.id)
+            put("afterMs", nowMs - call.arrivedAtMs)
+        }
+    }
+
+    /** Notes what a report of the backend server changed. */
+    fun reported(report: BackendReport, outcome: ReportOutcome) {
+        if (outcome == ReportOutcome.UPDATED) return
+        log.write("backend", clock.nowMs()) {
+            put("instance", report.instance)
+            put("service", report.service)
+            put("outcome", outcome.name.lowercase())
+            put("state", report.state.name.lowercase())
+            put("slots", report.slots.toLong())
+            put("sequence", report.sequence ?: -1)
+        }
+    }
+
+    /** Notes a change of what the daemon believes or of its life. */
+    fun changed(event: String, detail: String) = log.write(event, clock.nowMs()) { put("detail", detail) }
+
+    private fun outcomeOf(result: MeshResult) =
+        when (result) {
+            is MeshResult.Answered -> "status-${result.response.statusClass}xx"
+            is MeshResult.Refused -> result.refusal.wireName
+        }
+
+    private val HttpResponse.statusClass get() = status / STATUS_CLASS
+
+    private fun count(name: String, outcome: String) =
+        counters
+            .getOrPut("$name/$outcome") { Counter.builder(name).tag("outcome", outcome).register(registry) }
+            .increment()
+
+    /** Keeps or drops all lines of one request alike, on every daemon. */
+    private fun sampled(id: String) = id.hashCode() and SAMPLE_MASK == 0
+
+    private companion object {
+        const val MEDIAN = 0.5
+        const val HIGH = 0.99
+        const val SERVER_ERROR = 500
+        const val STATUS_CLASS = 100
+
+        /** One request in 64 that went well is logged. */
+        const val SAMPLE_MASK = 63
+    }
+}
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
@@ -49,7 +49,7 @@
             ) {
                 known
             } else {
-                PeerLink(loop, PeerGrpc.newStub(channelTo(address)), ::failureOf).also { links[address] = it }
+                PeerLink(loop, PeerGrpc.newStub(channelTo(address)), ::failureOf) { onEnd(address, it) }.also { links[address] = it }
             }
         return link.forward(request, timeoutMs, onAnswer)
     }
@@ -81,6 +81,13 @@
     /** Closes all connections. */
     fun close() = channels.values.forEach { it.shutdownNow() }
 
+    /** A broken link takes its channel along, so that the next request connects at once and not after a back-off. */
+    private fun onEnd(address: PeerAddress, link: PeerLink) {
+        if (links[address] !== link) return
+        links.remove(address)
+        channels.remove(address)?.shutdownNow()
+    }
+
     private fun channelTo(address: PeerAddress): ManagedChannel =
         channels.getOrPut(address) {
             NettyChannelBuilder
@@ -118,7 +125,7 @@
     }
 
     private companion object {
-        const val CONNECT_TIMEOUT_MS = 1_000
+        const val CONNECT_TIMEOUT_MS = 400
         const val FLOW_WINDOW_BYTES = 8 * 1024 * 1024
         const val IDLE_S = 60L
     }
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -13,10 +13,12 @@
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
 import wigeonreel.wire.ConfigReceipt
+import wigeonreel.wire.DemandReport
 import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
+import wigeonreel.wire.RateGrants
 import wigeonreel.wire.RequestFrame
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -29,6 +31,9 @@
     /** Blocks an idempotency key or tells its outcome. */
     fun block(request: BlockRequest): BlockReply
 
+    /** Returns the rates granted for the demand that a daemon reports. */
+    fun share(report: DemandReport): RateGrants
+
     /** Lends tokens of a client account's limit. */
     fun borrow(request: BorrowRequest): BorrowReply
 
@@ -84,6 +89,8 @@
 
     override fun borrow(request: BorrowRequest, responses: StreamObserver<BorrowReply>) = complete(responses, handler.borrow(request))
 
+    override fun share(request: DemandReport, responses: StreamObserver<RateGrants>) = complete(responses, handler.share(request))
+
     override fun fetchConfig(request: FetchConfigRequest, responses: StreamObserver<ConfigDelta>) =
         complete(responses, handler.fetchConfig(request))
 
@@ -112,6 +119,8 @@
         when (frame.frameCase) {
             RequestFrame.FrameCase.FORWARD -> forward(frame.forward)
             RequestFrame.FrameCase.CANCEL_ATTEMPT_ID -> running.remove(frame.cancelAttemptId)?.invoke()
+            RequestFrame.FrameCase.PING ->
+                if (open && !responses.isCancelled) responses.onNext(ForwardReply.newBuilder().setPong(frame.ping).build())
             RequestFrame.FrameCase.FRAME_NOT_SET, null -> Unit
         }
     }
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerLink.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerLink.kt
@@ -19,6 +19,7 @@
     private val loop: EventLoopGroup,
     stub: PeerGrpc.PeerStub,
     private val failureOf: (Throwable) -> PeerFailure,
+    private val onEnd: (PeerLink) -> Unit,
 ) {
     private class Pending(
         val onAnswer: (ForwardReply?, PeerFailure?) -> Unit,
@@ -27,6 +28,9 @@
 
     private val pending = HashMap<String, Pending>()
     private var connected = false
+    private var heardNs = System.nanoTime()
+    private var pings = 0L
+    private var probe: Future<*>? = null
 
     /** Whether requests can be sent. */
     var open = true
@@ -37,7 +41,9 @@
     fun forward(request: ForwardRequest, timeoutMs: Long, onAnswer: (ForwardReply?, PeerFailure?) -> Unit): () -> Unit {
         val id = request.attemptId
         val timer = loop.schedule({ giveUp(id) }, timeoutMs, TimeUnit.MILLISECONDS)
+        if (pending.isEmpty()) heardNs = System.nanoTime()
         pending[id] = Pending(onAnswer, timer)
+        if (probe == null) probe = loop.schedule(::checkSilence, PING_MS, TimeUnit.MILLISECONDS)
         requests.onNext(RequestFrame.newBuilder().setForward(request).build())
         return { giveUp(id) }
     }
@@ -47,6 +53,16 @@
         open = false
     }
 
+    /** While requests are open, a link that brings nothing is pinged and then given up: its connection may be gone without a reset. */
+    private fun checkSilence() {
+        probe = null
+        if (!open || pending.isEmpty()) return
+        val silentMs = (System.nanoTime() - heardNs) / NS_PER_MS
+        if (silentMs > SILENT_MS) return end(PeerFailure.LOST)
+        if (silentMs >= PING_MS) requests.onNext(RequestFrame.newBuilder().setPing(++pings).build())
+        probe = loop.schedule(::checkSilence, PING_MS, TimeUnit.MILLISECONDS)
+    }
+
     private fun giveUp(id: String) {
         val given = take(id) ?: return
         if (open) requests.onNext(RequestFrame.newBuilder().setCancelAttemptId(id).build())
@@ -56,13 +72,17 @@
     private fun take(id: String): Pending? = pending.remove(id)?.also { it.timer.cancel(false) }
 
     private fun end(failure: PeerFailure) {
+        if (!open && pending.isEmpty()) return
         open = false
+        onEnd(this)
         pending.keys.toList().forEach { id -> take(id)?.onAnswer?.invoke(null, failure) }
     }
 
     private inner class Replies : StreamObserver<ForwardReply> {
         override fun onNext(reply: ForwardReply) {
             connected = true
+            heardNs = System.nanoTime()
+            if (reply.pong != 0L) return
             take(reply.attemptId)?.onAnswer?.invoke(reply, null)
         }
 
@@ -71,4 +91,13 @@
 
         override fun onCompleted() = end(PeerFailure.LOST)
     }
+
+    private companion object {
+        /** Time between looks at a link with open requests; a few round trips between regions. */
+        const val PING_MS = 300L
+
+        /** Silence after which a pinged link is given up: three pings and the longest pause of a busy peer. */
+        const val SILENT_MS = 1_200L
+        const val NS_PER_MS = 1_000_000L
+    }
 }
--- a/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing
 import wigeonreel.config.Configuration
 import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
 import wigeonreel.place.Distance
 import wigeonreel.routing.Candidate
 
@@ -25,6 +26,9 @@
     /** Returns the daemon [id], or null. */
     fun member(id: String): Member? = byId[id]
 
+    /** Number of daemons that are or lately were in the fleet; those that left on purpose do not count. */
+    val knownDaemons: Int = members.count { it.state != MemberState.LEFT }.coerceAtLeast(1)
+
     /** Ids of all known daemons. */
     val memberIds: Set<String> get() = byId.keys
 
--- a/daemon/src/main/kotlin/wigeonreel/traffic/ForwardMessages.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/ForwardMessages.kt
@@ -34,14 +34,19 @@
         .setRetryAfterMs(refusal.retryAfterMs)
         .setCut(cut.place)
 
-/** Returns the reply that carries the backend server's whole [response]. */
-internal fun answerReply(request: ForwardRequest, response: HttpResponse, cut: Cut): ForwardReply.Builder =
+/** Returns the reply that carries the backend server's whole [response] with the [headers] that are passed on. */
+internal fun answerReply(
+    request: ForwardRequest,
+    response: HttpResponse,
+    cut: Cut = Cut.NONE,
+    headers: List<HttpHeader> = response.headers.passable(),
+): ForwardReply.Builder =
     ForwardReply
         .newBuilder()
         .setAttemptId(request.attemptId)
         .setOutcome(Outcome.ANSWERED)
         .setStatus(response.status)
-        .addAllHeaders(response.headers.passable().toWire())
+        .addAllHeaders(headers.toWire())
         .setBody(ByteString.copyFrom(response.body))
         .setCut(cut.place)
 
--- a/daemon/src/main/kotlin/wigeonreel/daemon/Main.kt
+++ b/dist/src/main/kotlin/wigeonreel/dist/DaemonMain.kt
@@ -1,9 +1,14 @@
-package wigeonreel.daemon
+package wigeonreel.dist
 
 import kotlinx.cli.ArgType
 import wigeonreel.command.ExitCode
 import wigeonreel.command.argParser
 import wigeonreel.command.fail
+import wigeonreel.daemon.Daemon
+import wigeonreel.daemon.DaemonSettings
+import wigeonreel.daemon.daemonSettings
+import wigeonreel.http.HttpConnector
+import wigeonreel.platform.HttpTableService
 import wigeonreel.settings.readSettings
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
@@ -27,9 +32,15 @@
     run(settings)
 }
 
+private const val STORE_ANSWER_BYTES = 16 * 1024 * 1024
+
 private fun run(settings: DaemonSettings) {
     System.setProperty("wigeonreel.log.level", if (settings.logDecisions) "debug" else "info")
-    val daemon = Daemon(settings)
+    val storeLimits = settings.http.copy(maxBodyBytes = STORE_ANSWER_BYTES)
+    val daemon =
+        Daemon(settings, { loop ->
+            HttpTableService(HttpConnector(loop, storeLimits), settings.platform.tableAddress, settings.platform.timeoutMs)
+        })
     runCatching { daemon.start() }.onFailure {
         fail(ExitCode.FAILED, "wigeonreeld: can't start (${it.message}); check that the listen addresses are free")
     }
--- a/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
@@ -26,8 +26,13 @@
 internal class ClientCall(
     private val request: HttpRequest,
     val address: HttpAddress,
+    private val options: SendOptions,
     private val onResult: (HttpResult) -> Unit,
 ) {
+    /** Whether an answer to some other request came; the connection is not used again then. */
+    var sawForeignAnswer = false
+        private set
+
     private var channel: Channel? = null
     private var timer: ScheduledFuture<*>? = null
     private var done = false
@@ -46,6 +51,11 @@
         channel.writeAndFlush(toNetty())
     }
 
+    val acceptsUnframed: Boolean get() = options.acceptsUnframed
+
+    /** Whether [response] answers this call. */
+    fun accepts(response: HttpResponse): Boolean = options.belongs(response).also { if (!it) sawForeignAnswer = true }
+
     fun notSent(cause: Throwable) = complete(HttpResult.NotSent(cause.javaClass.simpleName))
 
     fun answered(response: HttpResponse) = complete(HttpResult.Answer(response))
@@ -74,17 +84,22 @@
     }
 }
 
-/** Refuses answers without a length, since their end can't be told from a cut. */
+/**
+ * Refuses answers without a length, since their end can't be told from a cut, unless the call accepts them.
+ *
+ * An accepted one ends with its connection. A connection that is reset fails its call before the decoder reports the
+ * end, so an answer that was cut by a reset is never taken as whole.
+ */
 internal class FramingCheck : ChannelInboundHandlerAdapter() {
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         if (message is NettyHttpResponse && !framed(message)) {
-            ctx
-                .channel()
-                .attr(CALL)
-                .get()
-                ?.fail(LostReason.TRUNCATED)
-            ctx.close()
-            return
+            val call = ctx.channel().attr(CALL).get()
+            if (call?.acceptsUnframed != true) {
+                call?.fail(LostReason.TRUNCATED)
+                ctx.close()
+                return
+            }
+            HttpUtil.setKeepAlive(message, false)
         }
         ctx.fireChannelRead(message)
     }
@@ -116,15 +131,35 @@
     private val connector: HttpConnector,
 ) : SimpleChannelInboundHandler<FullHttpResponse>() {
     override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpResponse) {
-        val call = ctx.channel().attr(CALL).getAndSet(null)
+        val call = ctx.channel().attr(CALL).get()
         if (call == null || !message.decoderResult().isSuccess) {
             call?.fail(LostReason.TRUNCATED)
             ctx.close()
             return
         }
-        val body = ByteArray(message.content().readableBytes()).also { message.content().readBytes(it) }
-        if (HttpUtil.isKeepAlive(message)) connector.release(call.address, ctx.channel()) else ctx.close()
-        call.answered(HttpResponse(message.status().code(), message.headers().map { HttpHeader(it.key, it.value) }, body))
+        val response = message.toResponse()
+        if (!call.accepts(response)) return
+        ctx.channel().attr(CALL).set(null)
+        val keep = HttpUtil.isKeepAlive(message) && !call.sawForeignAnswer
+        if (keep) connector.release(call.address, ctx.channel(), keepAliveMs(response)) else ctx.close()
+        call.answered(response)
+    }
+
+    private fun FullHttpResponse.toResponse(): HttpResponse {
+        val body = ByteArray(content().readableBytes()).also { content().readBytes(it) }
+        return HttpResponse(status().code(), headers().map { HttpHeader(it.key, it.value) }, body)
+    }
+
+    private fun keepAliveMs(response: HttpResponse): Long? {
+        val seconds =
+            response.header("Keep-Alive")?.let {
+                KEEP_ALIVE_TIMEOUT
+                    .find(it)
+                    ?.groupValues
+                    ?.get(1)
+                    ?.toLongOrNull()
+            }
+        return seconds?.times(MS_PER_SECOND)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -145,4 +180,9 @@
             ?.fail(reason)
         ctx.close()
     }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000L
+        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
+    }
 }
--- a/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
@@ -29,6 +29,19 @@
     }
 }
 
+/**
+ * How a request is sent.
+ *
+ * @param maxIdleMs longest time for which a kept connection may have been idle to be used; a server may be closing an older one.
+ * @param acceptsUnframed whether an answer without a length, which ends with its connection, is taken.
+ * @param belongs whether an answer is the one to this request; others are dropped.
+ */
+class SendOptions(
+    val maxIdleMs: Long = Long.MAX_VALUE,
+    val acceptsUnframed: Boolean = false,
+    val belongs: (HttpResponse) -> Boolean = { true },
+)
+
 /** Request in progress that can be given up. */
 fun interface Cancellable {
     /** Gives the request up; its connection is closed, which tells the server. */
@@ -44,36 +57,59 @@
     private val loop: EventLoopGroup,
     private val limits: HttpLimits = HttpLimits(),
 ) {
-    private val idle = HashMap<HttpAddress, ArrayDeque<Channel>>()
+    private class Kept(
+        val channel: Channel,
+        val sinceNs: Long,
+        val untilNs: Long,
+    )
+
+    private val idle = HashMap<HttpAddress, ArrayDeque<Kept>>()
 
     /** Sends [request] and calls [onResult] once, within [timeoutMs]. */
-    fun send(address: HttpAddress, request: HttpRequest, timeoutMs: Long, onResult: (HttpResult) -> Unit): Cancellable {
-        val call = ClientCall(request, address, onResult)
+    fun send(
+        address: HttpAddress,
+        request: HttpRequest,
+        timeoutMs: Long,
+        options: SendOptions = SendOptions(),
+        onResult: (HttpResult) -> Unit,
+    ): Cancellable {
+        val call = ClientCall(request, address, options, onResult)
         call.startTimer(loop.next(), timeoutMs)
-        val kept = takeIdle(address)
+        val kept = takeIdle(address, options.maxIdleMs)
         if (kept != null) call.begin(kept) else connect(address, call, timeoutMs)
         return Cancellable { call.fail(LostReason.CANCELLED) }
     }
 
     /** Closes all idle connections. */
     fun close() {
-        idle.values.forEach { channels -> channels.forEach { it.close() } }
+        idle.values.forEach { kept -> kept.forEach { it.channel.close() } }
         idle.clear()
     }
 
-    internal fun release(address: HttpAddress, channel: Channel) {
-        val channels = idle.getOrPut(address) { ArrayDeque() }
-        if (channels.size >= MAX_IDLE) channel.close() else channels.addLast(channel)
+    /** Keeps a connection; [keepAliveMs] is the time for which the server says that it keeps it. */
+    internal fun release(address: HttpAddress, channel: Channel, keepAliveMs: Long?) {
+        val kept = idle.getOrPut(address) { ArrayDeque() }
+        val nowNs = System.nanoTime()
+        val usableMs = keepAliveMs?.let { (it * KEEP_ALIVE_SHARE).toLong() } ?: DEFAULT_KEEP_MS
+        while (kept.isNotEmpty() && expired(kept.first(), nowNs)) kept.removeFirst().channel.close()
+        if (kept.size >= MAX_IDLE) channel.close() else kept.addLast(Kept(channel, nowNs, nowNs + usableMs * NS_PER_MS))
     }
 
-    private fun takeIdle(address: HttpAddress): Channel? {
-        val channels = idle[address] ?: return null
+    /** The connection used last is the surest to be still open. */
+    private fun takeIdle(address: HttpAddress, maxIdleMs: Long): Channel? {
+        val kept = idle[address] ?: return null
+        val nowNs = System.nanoTime()
         while (true) {
-            val channel = channels.removeLastOrNull() ?: return null
-            if (channel.isActive) return channel
+            val last = kept.lastOrNull() ?: return null
+            if ((nowNs - last.sinceNs) / NS_PER_MS > maxIdleMs) return null
+            kept.removeLast()
+            if (last.channel.isActive && !expired(last, nowNs)) return last.channel
+            last.channel.close()
         }
     }
 
+    private fun expired(kept: Kept, nowNs: Long) = !kept.channel.isActive || nowNs > kept.untilNs
+
     private fun connect(address: HttpAddress, call: ClientCall, timeoutMs: Long) {
         val bootstrap =
             Bootstrap()
@@ -101,6 +137,13 @@
 
     private companion object {
         const val MAX_IDLE = 512
+
+        /** Share of the time that a server names for which its connection is used; it may close a little early. */
+        const val KEEP_ALIVE_SHARE = 0.7
+
+        /** Time for which a connection is used when the server names none, in milliseconds. */
+        const val DEFAULT_KEEP_MS = 4_000L
+        const val NS_PER_MS = 1_000_000L
         const val MAX_CONNECT_MS = 2_000L
         const val CHUNK_BYTES = 8_192
     }
--- a/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
@@ -81,21 +81,37 @@
             }
         }
 
-    private fun sendTo(reply: String): HttpResult =
+    @Test
+    fun `an answer without a length is whole when its connection ends, not when it is reset`() {
+        val reply = "HTTP/1.1 200 OK\r\n\r\nwhole"
+        val unframed = SendOptions(acceptsUnframed = true)
+        expectThat(sendTo(reply, unframed)).isA<HttpResult.Answer>().get { response.text }.isEqualTo("whole")
+        expectThat(sendTo(reply, unframed, reset = true)).isEqualTo(HttpResult.Lost(LostReason.CLOSED))
+    }
+
+    @Test
+    fun `answers to other requests are dropped and the own one is found behind them`() {
+        val replies = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\ny"
+        val options = SendOptions { it.header("Id") == "b" }
+        expectThat(sendTo(replies, options)).isA<HttpResult.Answer>().get { response.text }.isEqualTo("y")
+    }
+
+    private fun sendTo(reply: String, options: SendOptions = SendOptions(), reset: Boolean = false): HttpResult =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
             thread {
                 server.accept().use {
                     it.getInputStream().read(ByteArray(1_024))
                     it.getOutputStream().write(reply.encodeToByteArray())
+                    if (reset) it.setSoLinger(true, 0)
                 }
             }
-            send(server.localPort)
+            send(server.localPort, options)
         }
 
-    private fun send(port: Int): HttpResult {
+    private fun send(port: Int, options: SendOptions = SendOptions()): HttpResult {
         val connector = HttpConnector(loop, limits)
         val done = CompletableFuture<HttpResult>()
-        loop.execute { connector.send(HttpAddress("127.0.0.1", port), HttpRequest("GET", "/"), 5_000) { done.complete(it) } }
+        loop.execute { connector.send(HttpAddress("127.0.0.1", port), HttpRequest("GET", "/"), 5_000, options) { done.complete(it) } }
         return done.get()
     }
 
--- a/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
@@ -10,12 +10,13 @@
 import wigeonreel.control.ConfigKeeper
 import wigeonreel.control.WriteResult
 import wigeonreel.daemon.Clock
-import wigeonreel.platform.Row
-import wigeonreel.platform.RowName
-import wigeonreel.platform.RowRead
-import wigeonreel.platform.RowWrite
-import wigeonreel.platform.StoreError
-import wigeonreel.platform.TableService
+import wigeonreel.store.Row
+import wigeonreel.store.RowName
+import wigeonreel.store.RowRead
+import wigeonreel.store.RowWrite
+import wigeonreel.store.StoreError
+import wigeonreel.store.TableChanges
+import wigeonreel.store.TableService
 
 /** Table service with one row, outages, slowness, lost answers, and at times an older answer to a read. */
 private class FakeTable(
@@ -39,6 +40,9 @@
     override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, List<Row>>) -> Unit) =
         onResult(emptyList<Row>().right())
 
+    override fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) =
+        queue.after(waitMs) { onResult(TableChanges.Forgotten.right()) }
+
     private fun <T> answer(apply: () -> T, onResult: (Either<StoreError, T>) -> Unit) {
         if (!up) return queue.after(FAIL_MS) { onResult(StoreError.Unavailable("outage").left()) }
         val lostAnswer = faulty && queue.chance(LOST)
@@ -51,8 +55,8 @@
 
     private fun read(knownVersion: Long): RowRead {
         val stale = faulty && history.size > 1 && queue.chance(STALE)
-        val row = (if (stale) history[history.size - 2] else history.lastOrNull()) ?: return RowRead.Absent
-        return if (row.version == knownVersion) RowRead.Unchanged else RowRead.Found(row)
+        val row = (if (stale) history[history.size - 2] else history.lastOrNull()) ?: return RowRead.Absent(0)
+        return if (row.version == knownVersion) RowRead.Unchanged(row.version) else RowRead.Found(row)
     }
 
     private fun write(value: String, expectedVersion: Long?): RowWrite {
--- a/standin/src/main/kotlin/wigeonreel/standin/Faults.kt
+++ b/standin/src/main/kotlin/wigeonreel/standin/Faults.kt
@@ -3,12 +3,12 @@
 import wigeonreel.http.HttpRequest
 
 /** Faults of the table service that a scenario turns on. */
-enum class StoreFault { NONE, OUTAGE, SLOW, LOSE_ANSWERS }
+enum class StoreFault { NONE, OUTAGE, BUSY, SILENT, SLOW, LOSE_ANSWERS, LATE_WRITES, FORGET }
 
 /**
  * Faults of one stand-in.
  *
- * @param delayMs delay of answers while the fault is [StoreFault.SLOW], in milliseconds.
+ * @param delayMs delay of answers under [StoreFault.SLOW] and of writes under [StoreFault.LATE_WRITES], in milliseconds.
  */
 data class StoreFaults(
     val fault: StoreFault = StoreFault.NONE,
--- a/standin/src/main/kotlin/wigeonreel/standin/TableStandin.kt
+++ b/standin/src/main/kotlin/wigeonreel/standin/TableStandin.kt
@@ -1,115 +1,172 @@
 package wigeonreel.standin
 
 import io.netty.channel.EventLoopGroup
-import kotlinx.serialization.encodeToString
-import kotlinx.serialization.json.Json
 import wigeonreel.http.HttpExchange
 import wigeonreel.http.HttpFault
 import wigeonreel.http.HttpHandler
-import wigeonreel.http.HttpHeader
 import wigeonreel.http.HttpRequest
 import wigeonreel.http.HttpResponse
 import wigeonreel.http.jsonResponse
 import wigeonreel.http.textResponse
-import wigeonreel.platform.ScannedRow
+import wigeonreel.platform.StoreAnswer
+import wigeonreel.platform.StoreCondition
+import wigeonreel.platform.StorePaths
+import wigeonreel.platform.StoreRow
+import wigeonreel.platform.StoreTransaction
+import wigeonreel.platform.platformJson
+import java.net.URLDecoder
 import java.util.TreeMap
 import java.util.concurrent.TimeUnit
 
-/** Table service in memory: rows with versions and conditional writes, with faults that a scenario turns on. */
+/** The platform's table service in memory: rows with versions, conditional writes and a feed, with faults that a scenario turns on. */
 class TableStandin(
     private val loop: EventLoopGroup,
 ) : HttpHandler {
-    private class StoredRow(
-        val version: Long,
-        val value: String,
+    private data class RowKey(
+        val table: String,
+        val part: String,
+        val key: String,
     )
 
-    private val tables = HashMap<String, TreeMap<String, StoredRow>>()
+    private class Watch(
+        val table: String,
+        val after: Long,
+        val exchange: HttpExchange,
+    ) {
+        var answered = false
+    }
+
+    private val rows = TreeMap<RowKey, StoreRow>(compareBy({ it.table }, { it.part }, { it.key }))
+    private val history = ArrayDeque<StoreRow>()
+    private val watches = mutableListOf<Watch>()
     private var faults = StoreFaults()
     private var reads = 0L
     private var writes = 0L
     private var lastVersion = 0L
+    private var forgottenUpTo = 0L
 
     override fun handle(exchange: HttpExchange) {
-        when {
-            exchange.request.path == "/_fault" -> setFaults(exchange)
-            exchange.request.path == "/_stats" -> exchange.respond(jsonResponse(OK, """{"reads":$reads,"writes":$writes}"""))
+        when (exchange.request.path) {
+            "/_fault" -> setFaults(exchange)
+            "/_stats" -> exchange.respond(jsonResponse(OK, """{"reads":$reads,"writes":$writes}"""))
             else -> answer(exchange)
         }
     }
 
     override fun reject(fault: HttpFault): HttpResponse = textResponse(BAD_REQUEST, "malformed request")
 
+    /** Drops the history, so that watches have to read the rows again. */
+    fun forgetHistory() {
+        forgottenUpTo = lastVersion
+        history.clear()
+    }
+
     private fun setFaults(exchange: HttpExchange) {
         val next = parseStoreFaults(exchange.request)
         if (next != null) faults = next
-        exchange.respond(textResponse(if (next == null) BAD_REQUEST else OK, next?.toString() ?: "modes: none, outage, slow, lose-answers"))
+        if (next?.fault == StoreFault.FORGET) forgetHistory()
+        val modes = StoreFault.entries.joinToString { it.name.lowercase().replace('_', '-') }
+        exchange.respond(textResponse(if (next == null) BAD_REQUEST else OK, next?.toString() ?: "modes: $modes"))
     }
 
     private fun answer(exchange: HttpExchange) {
         val active = faults
         when (active.fault) {
-            StoreFault.NONE -> exchange.respond(apply(exchange.request))
+            StoreFault.NONE, StoreFault.FORGET -> apply(exchange)
             StoreFault.OUTAGE -> exchange.respond(textResponse(UNAVAILABLE, "outage"))
-            StoreFault.SLOW -> loop.schedule({ exchange.respond(apply(exchange.request)) }, active.delayMs, TimeUnit.MILLISECONDS)
-            StoreFault.LOSE_ANSWERS -> apply(exchange.request)
+            StoreFault.BUSY -> exchange.respond(textResponse(TOO_MANY_REQUESTS, "too many calls"))
+            StoreFault.SILENT -> Unit
+            StoreFault.SLOW -> loop.schedule({ apply(exchange) }, active.delayMs, TimeUnit.MILLISECONDS)
+            StoreFault.LOSE_ANSWERS -> if (isWrite(exchange.request)) transact(exchange.request) else apply(exchange)
+            StoreFault.LATE_WRITES ->
+                if (isWrite(exchange.request)) {
+                    loop.schedule({ transact(exchange.request) }, active.delayMs, TimeUnit.MILLISECONDS)
+                } else {
+                    apply(exchange)
+                }
         }
     }
 
-    private fun apply(request: HttpRequest): HttpResponse {
-        val parts = request.path.removePrefix("/table/").split('/', limit = 2)
-        val table = tables.getOrPut(parts[0]) { TreeMap() }
-        val row = parts.getOrNull(1)
-        return when {
-            row == null -> scan(table, request)
-            request.method == "GET" -> read(table[row], request)
-            request.method == "PUT" -> write(table, row, request)
-            request.method == "DELETE" -> delete(table, row)
-            else -> textResponse(BAD_REQUEST, "use GET, PUT or DELETE")
+    private fun isWrite(request: HttpRequest) = request.path == StorePaths.TRANSACTION
+
+    private fun apply(exchange: HttpExchange) =
+        when (exchange.request.path) {
+            StorePaths.TRANSACTION -> exchange.respond(transact(exchange.request))
+            StorePaths.GET -> exchange.respond(get(exchange.request))
+            StorePaths.FEED -> feed(exchange)
+            else -> exchange.respond(textResponse(NOT_FOUND, "no such call"))
         }
-    }
 
-    private fun scan(table: TreeMap<String, StoredRow>, request: HttpRequest): HttpResponse {
+    private fun get(request: HttpRequest): HttpResponse {
         reads++
-        val limit = request.query("limit")?.toIntOrNull() ?: DEFAULT_LIMIT
-        val rows = table.tailMap(request.query("after").orEmpty(), false).entries.take(limit)
-        return jsonResponse(OK, Json.encodeToString(rows.map { ScannedRow(it.key, it.value.version, it.value.value) }))
+        val table = parameter(request, "table")
+        val part = parameter(request, "part")
+        val from = parameter(request, "from")
+        val to = parameter(request, "to")
+        val limit = parameter(request, "limit").toIntOrNull() ?: DEFAULT_LIMIT
+        val range = rows.values.filter { it.table == table && it.part == part && it.key >= from && (to.isEmpty() || it.key < to) }
+        return answer(StoreAnswer(range.take(limit), range.size > limit, lastVersion))
     }
 
-    private fun read(row: StoredRow?, request: HttpRequest): HttpResponse {
-        reads++
-        return when {
-            row == null -> textResponse(NOT_FOUND, "no such row")
-            request.header("If-None-Match") == row.version.toString() -> HttpResponse(NOT_MODIFIED, listOf(etag(row.version)))
-            else -> HttpResponse(OK, listOf(etag(row.version)), row.value.encodeToByteArray())
+    private fun transact(request: HttpRequest): HttpResponse {
+        writes++
+        val transaction = platformJson.decodeFromString(StoreTransaction.serializer(), request.body.decodeToString())
+        if (transaction.conditions.any { versionOf(it) != it.version }) {
+            val current = transaction.conditions.mapNotNull { rows[RowKey(it.table, it.part, it.key)] }
+            return answer(StoreAnswer(current, version = lastVersion), PRECONDITION_FAILED)
         }
+        val version = ++lastVersion
+        transaction.puts.forEach { record(StoreRow(it.table, it.part, it.key, it.encodedValue, version)) }
+        transaction.removals.forEach { record(StoreRow(it.table, it.part, it.key, version = version, removed = true)) }
+        watches.toList().forEach { notify(it) }
+        return answer(StoreAnswer(version = version))
     }
 
-    private fun write(table: TreeMap<String, StoredRow>, row: String, request: HttpRequest): HttpResponse {
-        writes++
-        val found = table[row]?.version ?: 0
-        val condition = request.header("If-Match") ?: "*"
-        if (condition != "*" && condition != found.toString()) return HttpResponse(PRECONDITION_FAILED, listOf(etag(found)))
-        val version = ++lastVersion
-        table[row] = StoredRow(version, request.body.decodeToString())
-        return HttpResponse(OK, listOf(etag(version)))
+    private fun versionOf(condition: StoreCondition) = rows[RowKey(condition.table, condition.part, condition.key)]?.version ?: 0
+
+    private fun record(row: StoreRow) {
+        val key = RowKey(row.table, row.part, row.key)
+        if (row.removed) rows.remove(key) else rows[key] = row
+        history.addLast(row)
     }
 
-    private fun delete(table: TreeMap<String, StoredRow>, row: String): HttpResponse {
-        writes++
-        table.remove(row)
-        return textResponse(OK, "")
+    private fun feed(exchange: HttpExchange) {
+        reads++
+        val after = parameter(exchange.request, "after").toLongOrNull() ?: 0
+        if (after < forgottenUpTo) return exchange.respond(textResponse(GONE, "history is gone"))
+        val watch = Watch(parameter(exchange.request, "table"), after, exchange)
+        watches += watch
+        if (notify(watch)) return
+        val waitMs = parameter(exchange.request, "waitMs").toLongOrNull() ?: 0
+        loop.schedule({ finish(watch, emptyList()) }, waitMs, TimeUnit.MILLISECONDS)
     }
 
-    private fun etag(version: Long) = HttpHeader("ETag", version.toString())
+    private fun notify(watch: Watch): Boolean {
+        val changed = history.filter { it.table == watch.table && it.version > watch.after }
+        if (changed.isNotEmpty()) finish(watch, changed)
+        return changed.isNotEmpty()
+    }
+
+    private fun finish(watch: Watch, changed: List<StoreRow>) {
+        if (watch.answered) return
+        watch.answered = true
+        watches -= watch
+        watch.exchange.respond(answer(StoreAnswer(changed, version = lastVersion)))
+    }
+
+    private fun answer(body: StoreAnswer, status: Int = OK) =
+        jsonResponse(status, platformJson.encodeToString(StoreAnswer.serializer(), body))
+
+    private fun parameter(request: HttpRequest, name: String) = URLDecoder.decode(request.query(name).orEmpty(), Charsets.UTF_8)
 
     private companion object {
         const val OK = 200
-        const val NOT_MODIFIED = 304
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val GONE = 410
         const val PRECONDITION_FAILED = 412
+        const val TOO_MANY_REQUESTS = 429
         const val UNAVAILABLE = 503
-        const val DEFAULT_LIMIT = 100
+        const val DEFAULT_LIMIT = 500
     }
 }
--- a/wire/src/main/java/wigeonreel/wire/ForwardReply.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReply.java
@@ -258,6 +258,36 @@
     return limit_;
   }
 
+  public static final int WAIT_MS_FIELD_NUMBER = 12;
+  private int waitMs_ = 0;
+  /**
+   * <pre>
+   * Expected wait of the next request at the guard, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 12;</code>
+   * @return The waitMs.
+   */
+  @java.lang.Override
+  public int getWaitMs() {
+    return waitMs_;
+  }
+
+  public static final int PONG_FIELD_NUMBER = 13;
+  private long pong_ = 0L;
+  /**
+   * <pre>
+   * Set on the answer to a ping, which answers no attempt.
+   * </pre>
+   *
+   * <code>uint64 pong = 13;</code>
+   * @return The pong.
+   */
+  @java.lang.Override
+  public long getPong() {
+    return pong_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -305,6 +335,12 @@
     if (limit_ != 0) {
       output.writeUInt32(11, limit_);
     }
+    if (waitMs_ != 0) {
+      output.writeUInt32(12, waitMs_);
+    }
+    if (pong_ != 0L) {
+      output.writeUInt64(13, pong_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -356,6 +392,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(11, limit_);
     }
+    if (waitMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(12, waitMs_);
+    }
+    if (pong_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(13, pong_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -392,6 +436,10 @@
         != other.getInFlight()) return false;
     if (getLimit()
         != other.getLimit()) return false;
+    if (getWaitMs()
+        != other.getWaitMs()) return false;
+    if (getPong()
+        != other.getPong()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -427,6 +475,11 @@
     hash = (53 * hash) + getInFlight();
     hash = (37 * hash) + LIMIT_FIELD_NUMBER;
     hash = (53 * hash) + getLimit();
+    hash = (37 * hash) + WAIT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getWaitMs();
+    hash = (37 * hash) + PONG_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPong());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -575,6 +628,8 @@
       cut_ = 0;
       inFlight_ = 0;
       limit_ = 0;
+      waitMs_ = 0;
+      pong_ = 0L;
       return this;
     }
 
@@ -651,6 +706,12 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.limit_ = limit_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.waitMs_ = waitMs_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.pong_ = pong_;
+      }
     }
 
     @java.lang.Override
@@ -757,6 +818,12 @@
       if (other.getLimit() != 0) {
         setLimit(other.getLimit());
       }
+      if (other.getWaitMs() != 0) {
+        setWaitMs(other.getWaitMs());
+      }
+      if (other.getPong() != 0L) {
+        setPong(other.getPong());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -846,6 +913,16 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              waitMs_ = input.readUInt32();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              pong_ = input.readUInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1523,6 +1600,94 @@
       onChanged();
       return this;
     }
+
+    private int waitMs_ ;
+    /**
+     * <pre>
+     * Expected wait of the next request at the guard, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 12;</code>
+     * @return The waitMs.
+     */
+    @java.lang.Override
+    public int getWaitMs() {
+      return waitMs_;
+    }
+    /**
+     * <pre>
+     * Expected wait of the next request at the guard, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 12;</code>
+     * @param value The waitMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaitMs(int value) {
+
+      waitMs_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Expected wait of the next request at the guard, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 wait_ms = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaitMs() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      waitMs_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long pong_ ;
+    /**
+     * <pre>
+     * Set on the answer to a ping, which answers no attempt.
+     * </pre>
+     *
+     * <code>uint64 pong = 13;</code>
+     * @return The pong.
+     */
+    @java.lang.Override
+    public long getPong() {
+      return pong_;
+    }
+    /**
+     * <pre>
+     * Set on the answer to a ping, which answers no attempt.
+     * </pre>
+     *
+     * <code>uint64 pong = 13;</code>
+     * @param value The pong to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPong(long value) {
+
+      pong_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set on the answer to a ping, which answers no attempt.
+     * </pre>
+     *
+     * <code>uint64 pong = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPong() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      pong_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
@@ -108,4 +108,24 @@
    * @return The limit.
    */
   int getLimit();
+
+  /**
+   * <pre>
+   * Expected wait of the next request at the guard, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 wait_ms = 12;</code>
+   * @return The waitMs.
+   */
+  int getWaitMs();
+
+  /**
+   * <pre>
+   * Set on the answer to a ping, which answers no attempt.
+   * </pre>
+   *
+   * <code>uint64 pong = 13;</code>
+   * @return The pong.
+   */
+  long getPong();
 }
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
@@ -26,6 +26,7 @@
     headers_ = java.util.Collections.emptyList();
     body_ = com.google.protobuf.ByteString.EMPTY;
     idempotencyKey_ = "";
+    route_ = "";
   }
 
   @java.lang.Override
@@ -447,6 +448,98 @@
     return weight_;
   }
 
+  public static final int PRIORITY_FIELD_NUMBER = 16;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * Rank among the routes, 0 is the most urgent.
+   * </pre>
+   *
+   * <code>uint32 priority = 16;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
+  public static final int AT_MOST_ONCE_FIELD_NUMBER = 17;
+  private boolean atMostOnce_ = false;
+  /**
+   * <pre>
+   * Whether the request must not run twice.
+   * </pre>
+   *
+   * <code>bool at_most_once = 17;</code>
+   * @return The atMostOnce.
+   */
+  @java.lang.Override
+  public boolean getAtMostOnce() {
+    return atMostOnce_;
+  }
+
+  public static final int OBJECTIVE_MS_FIELD_NUMBER = 18;
+  private int objectiveMs_ = 0;
+  /**
+   * <pre>
+   * Time within which an answer has its full worth, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 objective_ms = 18;</code>
+   * @return The objectiveMs.
+   */
+  @java.lang.Override
+  public int getObjectiveMs() {
+    return objectiveMs_;
+  }
+
+  public static final int ROUTE_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object route_ = "";
+  /**
+   * <pre>
+   * Route of the configuration, for which service times are learned.
+   * </pre>
+   *
+   * <code>string route = 19;</code>
+   * @return The route.
+   */
+  @java.lang.Override
+  public java.lang.String getRoute() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      route_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Route of the configuration, for which service times are learned.
+   * </pre>
+   *
+   * <code>string route = 19;</code>
+   * @return The bytes for route.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRouteBytes() {
+    java.lang.Object ref = route_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      route_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -506,6 +599,18 @@
     if (java.lang.Double.doubleToRawLongBits(weight_) != 0) {
       output.writeDouble(15, weight_);
     }
+    if (priority_ != 0) {
+      output.writeUInt32(16, priority_);
+    }
+    if (atMostOnce_ != false) {
+      output.writeBool(17, atMostOnce_);
+    }
+    if (objectiveMs_ != 0) {
+      output.writeUInt32(18, objectiveMs_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(route_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 19, route_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -568,6 +673,21 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(15, weight_);
     }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(16, priority_);
+    }
+    if (atMostOnce_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(17, atMostOnce_);
+    }
+    if (objectiveMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(18, objectiveMs_);
+    }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(route_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(19, route_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -614,6 +734,14 @@
     if (java.lang.Double.doubleToLongBits(getWeight())
         != java.lang.Double.doubleToLongBits(
             other.getWeight())) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
+    if (getAtMostOnce()
+        != other.getAtMostOnce()) return false;
+    if (getObjectiveMs()
+        != other.getObjectiveMs()) return false;
+    if (!getRoute()
+        .equals(other.getRoute())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -659,6 +787,15 @@
     hash = (37 * hash) + WEIGHT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getWeight()));
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
+    hash = (37 * hash) + AT_MOST_ONCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAtMostOnce());
+    hash = (37 * hash) + OBJECTIVE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getObjectiveMs();
+    hash = (37 * hash) + ROUTE_FIELD_NUMBER;
+    hash = (53 * hash) + getRoute().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -811,6 +948,10 @@
       idempotencyKey_ = "";
       sentAtMs_ = 0L;
       weight_ = 0D;
+      priority_ = 0;
+      atMostOnce_ = false;
+      objectiveMs_ = 0;
+      route_ = "";
       return this;
     }
 
@@ -899,6 +1040,18 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.weight_ = weight_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.priority_ = priority_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.atMostOnce_ = atMostOnce_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.objectiveMs_ = objectiveMs_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.route_ = route_;
+      }
     }
 
     @java.lang.Override
@@ -1027,6 +1180,20 @@
       if (other.getWeight() != 0D) {
         setWeight(other.getWeight());
       }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
+      if (other.getAtMostOnce() != false) {
+        setAtMostOnce(other.getAtMostOnce());
+      }
+      if (other.getObjectiveMs() != 0) {
+        setObjectiveMs(other.getObjectiveMs());
+      }
+      if (!other.getRoute().isEmpty()) {
+        route_ = other.route_;
+        bitField0_ |= 0x00040000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1136,6 +1303,26 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 121
+            case 128: {
+              priority_ = input.readUInt32();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
+            case 136: {
+              atMostOnce_ = input.readBool();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
+            case 144: {
+              objectiveMs_ = input.readUInt32();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
+            case 154: {
+              route_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2144,6 +2331,230 @@
       onChanged();
       return this;
     }
+
+    private int priority_ ;
+    /**
+     * <pre>
+     * Rank among the routes, 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 priority = 16;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * Rank among the routes, 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 priority = 16;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rank among the routes, 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 priority = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean atMostOnce_ ;
+    /**
+     * <pre>
+     * Whether the request must not run twice.
+     * </pre>
+     *
+     * <code>bool at_most_once = 17;</code>
+     * @return The atMostOnce.
+     */
+    @java.lang.Override
+    public boolean getAtMostOnce() {
+      return atMostOnce_;
+    }
+    /**
+     * <pre>
+     * Whether the request must not run twice.
+     * </pre>
+     *
+     * <code>bool at_most_once = 17;</code>
+     * @param value The atMostOnce to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAtMostOnce(boolean value) {
+
+      atMostOnce_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request must not run twice.
+     * </pre>
+     *
+     * <code>bool at_most_once = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAtMostOnce() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      atMostOnce_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int objectiveMs_ ;
+    /**
+     * <pre>
+     * Time within which an answer has its full worth, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 objective_ms = 18;</code>
+     * @return The objectiveMs.
+     */
+    @java.lang.Override
+    public int getObjectiveMs() {
+      return objectiveMs_;
+    }
+    /**
+     * <pre>
+     * Time within which an answer has its full worth, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 objective_ms = 18;</code>
+     * @param value The objectiveMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMs(int value) {
+
+      objectiveMs_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time within which an answer has its full worth, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 objective_ms = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMs() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      objectiveMs_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object route_ = "";
+    /**
+     * <pre>
+     * Route of the configuration, for which service times are learned.
+     * </pre>
+     *
+     * <code>string route = 19;</code>
+     * @return The route.
+     */
+    public java.lang.String getRoute() {
+      java.lang.Object ref = route_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        route_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Route of the configuration, for which service times are learned.
+     * </pre>
+     *
+     * <code>string route = 19;</code>
+     * @return The bytes for route.
+     */
+    public com.google.protobuf.ByteString
+        getRouteBytes() {
+      java.lang.Object ref = route_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        route_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Route of the configuration, for which service times are learned.
+     * </pre>
+     *
+     * <code>string route = 19;</code>
+     * @param value The route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRoute(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      route_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Route of the configuration, for which service times are learned.
+     * </pre>
+     *
+     * <code>string route = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRoute() {
+      route_ = getDefaultInstance().getRoute();
+      bitField0_ = (bitField0_ & ~0x00040000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Route of the configuration, for which service times are learned.
+     * </pre>
+     *
+     * <code>string route = 19;</code>
+     * @param value The bytes for route to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouteBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      route_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
@@ -165,4 +165,54 @@
    * @return The weight.
    */
   double getWeight();
+
+  /**
+   * <pre>
+   * Rank among the routes, 0 is the most urgent.
+   * </pre>
+   *
+   * <code>uint32 priority = 16;</code>
+   * @return The priority.
+   */
+  int getPriority();
+
+  /**
+   * <pre>
+   * Whether the request must not run twice.
+   * </pre>
+   *
+   * <code>bool at_most_once = 17;</code>
+   * @return The atMostOnce.
+   */
+  boolean getAtMostOnce();
+
+  /**
+   * <pre>
+   * Time within which an answer has its full worth, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 objective_ms = 18;</code>
+   * @return The objectiveMs.
+   */
+  int getObjectiveMs();
+
+  /**
+   * <pre>
+   * Route of the configuration, for which service times are learned.
+   * </pre>
+   *
+   * <code>string route = 19;</code>
+   * @return The route.
+   */
+  java.lang.String getRoute();
+  /**
+   * <pre>
+   * Route of the configuration, for which service times are learned.
+   * </pre>
+   *
+   * <code>string route = 19;</code>
+   * @return The bytes for route.
+   */
+  com.google.protobuf.ByteString
+      getRouteBytes();
 }
--- a/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
@@ -173,6 +173,37 @@
     return getOfferConfigMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport,
+      wigeonreel.wire.RateGrants> getShareMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Share",
+      requestType = wigeonreel.wire.DemandReport.class,
+      responseType = wigeonreel.wire.RateGrants.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport,
+      wigeonreel.wire.RateGrants> getShareMethod() {
+    io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport, wigeonreel.wire.RateGrants> getShareMethod;
+    if ((getShareMethod = PeerGrpc.getShareMethod) == null) {
+      synchronized (PeerGrpc.class) {
+        if ((getShareMethod = PeerGrpc.getShareMethod) == null) {
+          PeerGrpc.getShareMethod = getShareMethod =
+              io.grpc.MethodDescriptor.<wigeonreel.wire.DemandReport, wigeonreel.wire.RateGrants>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Share"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  wigeonreel.wire.DemandReport.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  wigeonreel.wire.RateGrants.getDefaultInstance()))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Share"))
+              .build();
+        }
+      }
+    }
+    return getShareMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -274,6 +305,16 @@
         io.grpc.stub.StreamObserver<wigeonreel.wire.ConfigReceipt> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getOfferConfigMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * </pre>
+     */
+    default void share(wigeonreel.wire.DemandReport request,
+        io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getShareMethod(), responseObserver);
+    }
   }
 
   /**
@@ -364,6 +405,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getOfferConfigMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * </pre>
+     */
+    public void share(wigeonreel.wire.DemandReport request,
+        io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getShareMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -424,6 +476,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getOfferConfigMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * </pre>
+     */
+    public wigeonreel.wire.RateGrants share(wigeonreel.wire.DemandReport request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getShareMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -488,13 +550,25 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getOfferConfigMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<wigeonreel.wire.RateGrants> share(
+        wigeonreel.wire.DemandReport request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getShareMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_BLOCK = 0;
   private static final int METHODID_BORROW = 1;
   private static final int METHODID_FETCH_CONFIG = 2;
   private static final int METHODID_OFFER_CONFIG = 3;
-  private static final int METHODID_EXCHANGE = 4;
+  private static final int METHODID_SHARE = 4;
+  private static final int METHODID_EXCHANGE = 5;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -529,6 +603,10 @@
           serviceImpl.offerConfig((wigeonreel.wire.ConfigDelta) request,
               (io.grpc.stub.StreamObserver<wigeonreel.wire.ConfigReceipt>) responseObserver);
           break;
+        case METHODID_SHARE:
+          serviceImpl.share((wigeonreel.wire.DemandReport) request,
+              (io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -585,6 +663,13 @@
               wigeonreel.wire.ConfigDelta,
               wigeonreel.wire.ConfigReceipt>(
                 service, METHODID_OFFER_CONFIG)))
+        .addMethod(
+          getShareMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              wigeonreel.wire.DemandReport,
+              wigeonreel.wire.RateGrants>(
+                service, METHODID_SHARE)))
         .build();
   }
 
@@ -638,6 +723,7 @@
               .addMethod(getBorrowMethod())
               .addMethod(getFetchConfigMethod())
               .addMethod(getOfferConfigMethod())
+              .addMethod(getShareMethod())
               .build();
         }
       }
--- a/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
@@ -15,6 +15,26 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonreel_wire_DemandReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_wigeonreel_wire_DemandReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonreel_wire_AccountDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_wigeonreel_wire_AccountDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonreel_wire_RateGrants_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_wigeonreel_wire_RateGrants_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_wigeonreel_wire_RateGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
+      internal_static_wigeonreel_wire_RateGrant_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_wigeonreel_wire_Header_descriptor;
   static final 
@@ -99,165 +119,200 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017wigeonreel.wire\"%\n\006Header\022" +
-      "\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"h\n\014RequestF" +
-      "rame\0222\n\007forward\030\001 \001(\0132\037.wigeonreel.wire." +
-      "ForwardRequestH\000\022\033\n\021cancel_attempt_id\030\002 " +
-      "\001(\tH\000B\007\n\005frame\"\260\002\n\016ForwardRequest\022\022\n\natt" +
-      "empt_id\030\001 \001(\t\022\017\n\007root_id\030\002 \001(\t\022\017\n\007servic" +
-      "e\030\003 \001(\t\022\017\n\007account\030\004 \001(\t\022\016\n\006method\030\005 \001(\t" +
-      "\022\013\n\003uri\030\006 \001(\t\022(\n\007headers\030\007 \003(\0132\027.wigeonr" +
-      "eel.wire.Header\022\014\n\004body\030\010 \001(\014\022\014\n\004rank\030\t " +
-      "\001(\r\022\r\n\005depth\030\n \001(\r\022\022\n\ntimeout_ms\030\013 \001(\r\022\024" +
-      "\n\014retry_budget\030\014 \001(\r\022\027\n\017idempotency_key\030" +
-      "\r \001(\t\022\022\n\nsent_at_ms\030\016 \001(\003\022\016\n\006weight\030\017 \001(" +
-      "\001\"\204\002\n\014ForwardReply\022\022\n\nattempt_id\030\001 \001(\t\022)" +
-      "\n\007outcome\030\002 \001(\0162\030.wigeonreel.wire.Outcom" +
-      "e\022\016\n\006status\030\003 \001(\r\022(\n\007headers\030\004 \003(\0132\027.wig" +
-      "eonreel.wire.Header\022\014\n\004body\030\005 \001(\014\022\017\n\007ref" +
-      "usal\030\006 \001(\t\022\026\n\016retry_after_ms\030\007 \001(\r\022\025\n\rre" +
-      "tries_spent\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_fli" +
-      "ght\030\n \001(\r\022\r\n\005limit\030\013 \001(\r\"W\n\014BlockRequest" +
-      "\022\017\n\007service\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\013\n\003ke" +
-      "y\030\003 \001(\t\022\030\n\020home_set_version\030\004 \001(\003\"h\n\nBlo" +
-      "ckReply\022*\n\005state\030\001 \001(\0162\033.wigeonreel.wire" +
-      ".BlockState\022.\n\007outcome\030\002 \001(\0132\035.wigeonree" +
-      "l.wire.ForwardReply\"\201\001\n\rBorrowRequest\022\017\n" +
-      "\007account\030\001 \001(\t\022\020\n\010borrower\030\002 \001(\t\022\017\n\007loan" +
-      "_id\030\003 \001(\004\022\016\n\006tokens\030\004 \001(\r\022,\n\007reports\030\005 \003" +
-      "(\0132\033.wigeonreel.wire.LoanReport\"<\n\nLoanR" +
-      "eport\022\017\n\007loan_id\030\001 \001(\004\022\r\n\005spent\030\002 \001(\r\022\016\n" +
-      "\006closed\030\003 \001(\010\"?\n\013BorrowReply\022\017\n\007loan_id\030" +
-      "\001 \001(\004\022\016\n\006tokens\030\002 \001(\r\022\017\n\007wait_ms\030\003 \001(\r\"+" +
-      "\n\022FetchConfigRequest\022\025\n\rafter_version\030\001 " +
-      "\001(\003\"f\n\013ConfigDelta\022\024\n\014from_version\030\001 \001(\003" +
-      "\022\022\n\nto_version\030\002 \001(\003\022-\n\007entries\030\003 \003(\0132\034." +
-      "wigeonreel.wire.ConfigEntry\"L\n\013ConfigEnt" +
-      "ry\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\017\n\007versi" +
-      "on\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\" \n\rConfigRecei" +
-      "pt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Gossip\022*\n\004kind\030\001" +
-      " \001(\0162\034.wigeonreel.wire.Gossip.Kind\022\020\n\010se" +
-      "quence\030\002 \001(\004\022\'\n\006sender\030\003 \001(\0132\027.wigeonree" +
-      "l.wire.Member\022\016\n\006target\030\004 \001(\t\022(\n\007updates" +
-      "\030\005 \003(\0132\027.wigeonreel.wire.Member\022\026\n\016confi" +
-      "g_version\030\006 \001(\003\022,\n\006config\030\007 \001(\0132\034.wigeon" +
-      "reel.wire.ConfigDelta\022\016\n\006digest\030\010 \001(\006\022\026\n" +
-      "\016bucket_digests\030\t \003(\006\022\033\n\023config_proven_a" +
-      "t_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n" +
-      "\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n\006" +
-      "Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
-      "+\n\005state\030\003 \001(\0162\034.wigeonreel.wire.MemberS" +
-      "tate\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016\n" +
-      "\006region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001(\t\022\017\n" +
-      "\007service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005ready\030\n" +
-      " \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014\n\010ANS" +
-      "WERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBlo" +
-      "ckState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNING\020\001\022\r" +
-      "\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005SPENT\020" +
-      "\004*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001" +
-      "\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n\004Pe" +
-      "er\022L\n\010Exchange\022\035.wigeonreel.wire.Request" +
-      "Frame\032\035.wigeonreel.wire.ForwardReply(\0010\001" +
-      "\022C\n\005Block\022\035.wigeonreel.wire.BlockRequest" +
-      "\032\033.wigeonreel.wire.BlockReply\022F\n\006Borrow\022" +
-      "\036.wigeonreel.wire.BorrowRequest\032\034.wigeon" +
-      "reel.wire.BorrowReply\022P\n\013FetchConfig\022#.w" +
-      "igeonreel.wire.FetchConfigRequest\032\034.wige" +
-      "onreel.wire.ConfigDelta\022K\n\013OfferConfig\022\034" +
-      ".wigeonreel.wire.ConfigDelta\032\036.wigeonree" +
-      "l.wire.ConfigReceiptB\023\n\017wigeonreel.wireP" +
-      "\001b\006proto3"
+      "\n\npeer.proto\022\017wigeonreel.wire\"O\n\014DemandR" +
+      "eport\022\016\n\006daemon\030\001 \001(\t\022/\n\007demands\030\002 \003(\0132\036" +
+      ".wigeonreel.wire.AccountDemand\"4\n\rAccoun" +
+      "tDemand\022\017\n\007account\030\001 \001(\t\022\022\n\nper_second\030\002" +
+      " \001(\001\"8\n\nRateGrants\022*\n\006grants\030\001 \003(\0132\032.wig" +
+      "eonreel.wire.RateGrant\"?\n\tRateGrant\022\017\n\007a" +
+      "ccount\030\001 \001(\t\022\022\n\nper_second\030\002 \001(\001\022\r\n\005burs" +
+      "t\030\003 \001(\001\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
+      "\030\002 \001(\t\"x\n\014RequestFrame\0222\n\007forward\030\001 \001(\0132" +
+      "\037.wigeonreel.wire.ForwardRequestH\000\022\033\n\021ca" +
+      "ncel_attempt_id\030\002 \001(\tH\000\022\016\n\004ping\030\003 \001(\004H\000B" +
+      "\007\n\005frame\"\375\002\n\016ForwardRequest\022\022\n\nattempt_i" +
+      "d\030\001 \001(\t\022\017\n\007root_id\030\002 \001(\t\022\017\n\007service\030\003 \001(" +
+      "\t\022\017\n\007account\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\013\n\003ur" +
+      "i\030\006 \001(\t\022(\n\007headers\030\007 \003(\0132\027.wigeonreel.wi" +
+      "re.Header\022\014\n\004body\030\010 \001(\014\022\014\n\004rank\030\t \001(\r\022\r\n" +
+      "\005depth\030\n \001(\r\022\022\n\ntimeout_ms\030\013 \001(\r\022\024\n\014retr" +
+      "y_budget\030\014 \001(\r\022\027\n\017idempotency_key\030\r \001(\t\022" +
+      "\022\n\nsent_at_ms\030\016 \001(\003\022\016\n\006weight\030\017 \001(\001\022\020\n\010p" +
+      "riority\030\020 \001(\r\022\024\n\014at_most_once\030\021 \001(\010\022\024\n\014o" +
+      "bjective_ms\030\022 \001(\r\022\r\n\005route\030\023 \001(\t\"\243\002\n\014For" +
+      "wardReply\022\022\n\nattempt_id\030\001 \001(\t\022)\n\007outcome" +
+      "\030\002 \001(\0162\030.wigeonreel.wire.Outcome\022\016\n\006stat" +
+      "us\030\003 \001(\r\022(\n\007headers\030\004 \003(\0132\027.wigeonreel.w" +
+      "ire.Header\022\014\n\004body\030\005 \001(\014\022\017\n\007refusal\030\006 \001(" +
+      "\t\022\026\n\016retry_after_ms\030\007 \001(\r\022\025\n\rretries_spe" +
+      "nt\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r" +
+      "\022\r\n\005limit\030\013 \001(\r\022\017\n\007wait_ms\030\014 \001(\r\022\014\n\004pong" +
+      "\030\r \001(\004\"W\n\014BlockRequest\022\017\n\007service\030\001 \001(\t\022" +
+      "\017\n\007account\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\030\n\020home_se" +
+      "t_version\030\004 \001(\003\"h\n\nBlockReply\022*\n\005state\030\001" +
+      " \001(\0162\033.wigeonreel.wire.BlockState\022.\n\007out" +
+      "come\030\002 \001(\0132\035.wigeonreel.wire.ForwardRepl" +
+      "y\"\201\001\n\rBorrowRequest\022\017\n\007account\030\001 \001(\t\022\020\n\010" +
+      "borrower\030\002 \001(\t\022\017\n\007loan_id\030\003 \001(\004\022\016\n\006token" +
+      "s\030\004 \001(\r\022,\n\007reports\030\005 \003(\0132\033.wigeonreel.wi" +
+      "re.LoanReport\"<\n\nLoanReport\022\017\n\007loan_id\030\001" +
+      " \001(\004\022\r\n\005spent\030\002 \001(\r\022\016\n\006closed\030\003 \001(\010\"?\n\013B" +
+      "orrowReply\022\017\n\007loan_id\030\001 \001(\004\022\016\n\006tokens\030\002 " +
+      "\001(\r\022\017\n\007wait_ms\030\003 \001(\r\"+\n\022FetchConfigReque" +
+      "st\022\025\n\rafter_version\030\001 \001(\003\"f\n\013ConfigDelta" +
+      "\022\024\n\014from_version\030\001 \001(\003\022\022\n\nto_version\030\002 \001" +
+      "(\003\022-\n\007entries\030\003 \003(\0132\034.wigeonreel.wire.Co" +
+      "nfigEntry\"L\n\013ConfigEntry\022\014\n\004name\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\t\022\017\n\007version\030\003 \001(\003\022\017\n\007remove" +
+      "d\030\004 \001(\010\" \n\rConfigReceipt\022\017\n\007version\030\001 \001(" +
+      "\003\"\365\002\n\006Gossip\022*\n\004kind\030\001 \001(\0162\034.wigeonreel." +
+      "wire.Gossip.Kind\022\020\n\010sequence\030\002 \001(\004\022\'\n\006se" +
+      "nder\030\003 \001(\0132\027.wigeonreel.wire.Member\022\016\n\006t" +
+      "arget\030\004 \001(\t\022(\n\007updates\030\005 \003(\0132\027.wigeonree" +
+      "l.wire.Member\022\026\n\016config_version\030\006 \001(\003\022,\n" +
+      "\006config\030\007 \001(\0132\034.wigeonreel.wire.ConfigDe" +
+      "lta\022\016\n\006digest\030\010 \001(\006\022\026\n\016bucket_digests\030\t " +
+      "\003(\006\022\033\n\023config_proven_at_ms\030\n \001(\003\"?\n\004Kind" +
+      "\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n\014PING_REQUEST\020\002\022\010\n" +
+      "\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n\006Member\022\n\n\002id\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\004\022+\n\005state\030\003 \001(\0162\034.w" +
+      "igeonreel.wire.MemberState\022\014\n\004host\030\004 \001(\t" +
+      "\022\021\n\tpeer_port\030\005 \001(\r\022\016\n\006region\030\006 \001(\t\022\026\n\016f" +
+      "ailure_domain\030\007 \001(\t\022\017\n\007service\030\010 \001(\t\022\r\n\005" +
+      "slots\030\t \001(\r\022\r\n\005ready\030\n \001(\010\022\020\n\010revision\030\013" +
+      " \001(\r*1\n\007Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007NOT_RUN" +
+      "\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBlockState\022\013\n\007BLOCKED" +
+      "\020\000\022\020\n\014SEEN_RUNNING\020\001\022\r\n\tSEEN_DONE\020\002\022\017\n\013R" +
+      "ECORD_LOST\020\003\022\t\n\005SPENT\020\004*F\n\013MemberState\022\t" +
+      "\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002\022\013\n\007LEAV" +
+      "ING\020\003\022\010\n\004LEFT\020\0042\305\003\n\004Peer\022L\n\010Exchange\022\035.w" +
+      "igeonreel.wire.RequestFrame\032\035.wigeonreel" +
+      ".wire.ForwardReply(\0010\001\022C\n\005Block\022\035.wigeon" +
+      "reel.wire.BlockRequest\032\033.wigeonreel.wire" +
+      ".BlockReply\022F\n\006Borrow\022\036.wigeonreel.wire." +
+      "BorrowRequest\032\034.wigeonreel.wire.BorrowRe" +
+      "ply\022P\n\013FetchConfig\022#.wigeonreel.wire.Fet" +
+      "chConfigRequest\032\034.wigeonreel.wire.Config" +
+      "Delta\022K\n\013OfferConfig\022\034.wigeonreel.wire.C" +
+      "onfigDelta\032\036.wigeonreel.wire.ConfigRecei" +
+      "pt\022C\n\005Share\022\035.wigeonreel.wire.DemandRepo" +
+      "rt\032\033.wigeonreel.wire.RateGrantsB\023\n\017wigeo" +
+      "nreel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
         new com.google.protobuf.Descriptors.FileDescriptor[] {
         });
-    internal_static_wigeonreel_wire_Header_descriptor =
+    internal_static_wigeonreel_wire_DemandReport_descriptor =
       getDescriptor().getMessageTypes().get(0);
+    internal_static_wigeonreel_wire_DemandReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_wigeonreel_wire_DemandReport_descriptor,
+        new java.lang.String[] { "Daemon", "Demands", });
+    internal_static_wigeonreel_wire_AccountDemand_descriptor =
+      getDescriptor().getMessageTypes().get(1);
+    internal_static_wigeonreel_wire_AccountDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_wigeonreel_wire_AccountDemand_descriptor,
+        new java.lang.String[] { "Account", "PerSecond", });
+    internal_static_wigeonreel_wire_RateGrants_descriptor =
+      getDescriptor().getMessageTypes().get(2);
+    internal_static_wigeonreel_wire_RateGrants_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_wigeonreel_wire_RateGrants_descriptor,
+        new java.lang.String[] { "Grants", });
+    internal_static_wigeonreel_wire_RateGrant_descriptor =
+      getDescriptor().getMessageTypes().get(3);
+    internal_static_wigeonreel_wire_RateGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
+        internal_static_wigeonreel_wire_RateGrant_descriptor,
+        new java.lang.String[] { "Account", "PerSecond", "Burst", });
+    internal_static_wigeonreel_wire_Header_descriptor =
+      getDescriptor().getMessageTypes().get(4);
     internal_static_wigeonreel_wire_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_wigeonreel_wire_RequestFrame_descriptor =
-      getDescriptor().getMessageTypes().get(1);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_wigeonreel_wire_RequestFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_RequestFrame_descriptor,
-        new java.lang.String[] { "Forward", "CancelAttemptId", "Frame", });
+        new java.lang.String[] { "Forward", "CancelAttemptId", "Ping", "Frame", });
     internal_static_wigeonreel_wire_ForwardRequest_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_wigeonreel_wire_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ForwardRequest_descriptor,
-        new java.lang.String[] { "AttemptId", "RootId", "Service", "Account", "Method", "Uri", "Headers", "Body", "Rank", "Depth", "TimeoutMs", "RetryBudget", "IdempotencyKey", "SentAtMs", "Weight", });
+        new java.lang.String[] { "AttemptId", "RootId", "Service", "Account", "Method", "Uri", "Headers", "Body", "Rank", "Depth", "TimeoutMs", "RetryBudget", "IdempotencyKey", "SentAtMs", "Weight", "Priority", "AtMostOnce", "ObjectiveMs", "Route", });
     internal_static_wigeonreel_wire_ForwardReply_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_wigeonreel_wire_ForwardReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ForwardReply_descriptor,
-        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", });
+        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", "WaitMs", "Pong", });
     internal_static_wigeonreel_wire_BlockRequest_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_wigeonreel_wire_BlockRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_BlockRequest_descriptor,
         new java.lang.String[] { "Service", "Account", "Key", "HomeSetVersion", });
     internal_static_wigeonreel_wire_BlockReply_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_wigeonreel_wire_BlockReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_BlockReply_descriptor,
         new java.lang.String[] { "State", "Outcome", });
     internal_static_wigeonreel_wire_BorrowRequest_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_wigeonreel_wire_BorrowRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_BorrowRequest_descriptor,
         new java.lang.String[] { "Account", "Borrower", "LoanId", "Tokens", "Reports", });
     internal_static_wigeonreel_wire_LoanReport_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_wigeonreel_wire_LoanReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_LoanReport_descriptor,
         new java.lang.String[] { "LoanId", "Spent", "Closed", });
     internal_static_wigeonreel_wire_BorrowReply_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_wigeonreel_wire_BorrowReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_BorrowReply_descriptor,
         new java.lang.String[] { "LoanId", "Tokens", "WaitMs", });
     internal_static_wigeonreel_wire_FetchConfigRequest_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_wigeonreel_wire_FetchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_FetchConfigRequest_descriptor,
         new java.lang.String[] { "AfterVersion", });
     internal_static_wigeonreel_wire_ConfigDelta_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_wigeonreel_wire_ConfigDelta_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ConfigDelta_descriptor,
         new java.lang.String[] { "FromVersion", "ToVersion", "Entries", });
     internal_static_wigeonreel_wire_ConfigEntry_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_wigeonreel_wire_ConfigEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ConfigEntry_descriptor,
         new java.lang.String[] { "Name", "Value", "Version", "Removed", });
     internal_static_wigeonreel_wire_ConfigReceipt_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_wigeonreel_wire_ConfigReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ConfigReceipt_descriptor,
         new java.lang.String[] { "Version", });
     internal_static_wigeonreel_wire_Gossip_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_wigeonreel_wire_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_Gossip_descriptor,
         new java.lang.String[] { "Kind", "Sequence", "Sender", "Target", "Updates", "ConfigVersion", "Config", "Digest", "BucketDigests", "ConfigProvenAtMs", });
     internal_static_wigeonreel_wire_Member_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_wigeonreel_wire_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_Member_descriptor,
--- a/wire/src/main/java/wigeonreel/wire/RequestFrame.java
+++ b/wire/src/main/java/wigeonreel/wire/RequestFrame.java
@@ -47,6 +47,7 @@
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     FORWARD(1),
     CANCEL_ATTEMPT_ID(2),
+    PING(3),
     FRAME_NOT_SET(0);
     private final int value;
     private FrameCase(int value) {
@@ -66,6 +67,7 @@
       switch (value) {
         case 1: return FORWARD;
         case 2: return CANCEL_ATTEMPT_ID;
+        case 3: return PING;
         case 0: return FRAME_NOT_SET;
         default: return null;
       }
@@ -176,6 +178,35 @@
     }
   }
 
+  public static final int PING_FIELD_NUMBER = 3;
+  /**
+   * <pre>
+   * Asks for a reply with the same number in pong, to notice a connection that went silent.
+   * </pre>
+   *
+   * <code>uint64 ping = 3;</code>
+   * @return Whether the ping field is set.
+   */
+  @java.lang.Override
+  public boolean hasPing() {
+    return frameCase_ == 3;
+  }
+  /**
+   * <pre>
+   * Asks for a reply with the same number in pong, to notice a connection that went silent.
+   * </pre>
+   *
+   * <code>uint64 ping = 3;</code>
+   * @return The ping.
+   */
+  @java.lang.Override
+  public long getPing() {
+    if (frameCase_ == 3) {
+      return (java.lang.Long) frame_;
+    }
+    return 0L;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -196,6 +227,10 @@
     if (frameCase_ == 2) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 2, frame_);
     }
+    if (frameCase_ == 3) {
+      output.writeUInt64(
+          3, (long)((java.lang.Long) frame_));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -212,6 +247,11 @@
     if (frameCase_ == 2) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(2, frame_);
     }
+    if (frameCase_ == 3) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(
+            3, (long)((java.lang.Long) frame_));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -237,6 +277,10 @@
         if (!getCancelAttemptId()
             .equals(other.getCancelAttemptId())) return false;
         break;
+      case 3:
+        if (getPing()
+            != other.getPing()) return false;
+        break;
       case 0:
       default:
     }
@@ -260,6 +304,11 @@
         hash = (37 * hash) + CANCEL_ATTEMPT_ID_FIELD_NUMBER;
         hash = (53 * hash) + getCancelAttemptId().hashCode();
         break;
+      case 3:
+        hash = (37 * hash) + PING_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getPing());
+        break;
       case 0:
       default:
     }
@@ -499,6 +548,10 @@
           onChanged();
           break;
         }
+        case PING: {
+          setPing(other.getPing());
+          break;
+        }
         case FRAME_NOT_SET: {
           break;
         }
@@ -542,6 +595,11 @@
               frame_ = s;
               break;
             } // case 18
+            case 24: {
+              frame_ = input.readUInt64();
+              frameCase_ = 3;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -832,6 +890,64 @@
       onChanged();
       return this;
     }
+
+    /**
+     * <pre>
+     * Asks for a reply with the same number in pong, to notice a connection that went silent.
+     * </pre>
+     *
+     * <code>uint64 ping = 3;</code>
+     * @return Whether the ping field is set.
+     */
+    public boolean hasPing() {
+      return frameCase_ == 3;
+    }
+    /**
+     * <pre>
+     * Asks for a reply with the same number in pong, to notice a connection that went silent.
+     * </pre>
+     *
+     * <code>uint64 ping = 3;</code>
+     * @return The ping.
+     */
+    public long getPing() {
+      if (frameCase_ == 3) {
+        return (java.lang.Long) frame_;
+      }
+      return 0L;
+    }
+    /**
+     * <pre>
+     * Asks for a reply with the same number in pong, to notice a connection that went silent.
+     * </pre>
+     *
+     * <code>uint64 ping = 3;</code>
+     * @param value The ping to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPing(long value) {
+
+      frameCase_ = 3;
+      frame_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks for a reply with the same number in pong, to notice a connection that went silent.
+     * </pre>
+     *
+     * <code>uint64 ping = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPing() {
+      if (frameCase_ == 3) {
+        frameCase_ = 0;
+        frame_ = null;
+        onChanged();
+      }
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/RequestFrameOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/RequestFrameOrBuilder.java
@@ -52,5 +52,24 @@
   com.google.protobuf.ByteString
       getCancelAttemptIdBytes();
 
+  /**
+   * <pre>
+   * Asks for a reply with the same number in pong, to notice a connection that went silent.
+   * </pre>
+   *
+   * <code>uint64 ping = 3;</code>
+   * @return Whether the ping field is set.
+   */
+  boolean hasPing();
+  /**
+   * <pre>
+   * Asks for a reply with the same number in pong, to notice a connection that went silent.
+   * </pre>
+   *
+   * <code>uint64 ping = 3;</code>
+   * @return The ping.
+   */
+  long getPing();
+
   wigeonreel.wire.RequestFrame.FrameCase getFrameCase();
 }
