Grant account rates by demand; never repeat an at-most-once request that a server answered

Cause 1: MeshSender repeated a 5xx answer of a server for requests of every kind; an answer with a failure means that the request has run.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -88,12 +88,11 @@
     private val budget = RepeatBudget(settings.repeatRatio * REPEAT_SHARE, REPEAT_RESERVE)
     private val sender =
         kernel.register(
-            MeshSender(traffic, settings.id, state, router, budget, peers, guard, events, clock) { id ->
-                control.execute { fleet.onUnreachable(id) }
-            },
+            MeshSender(traffic, settings.id, state, router, budget, peers, guard, events, clock, ::onUnreachable),
         )
+    private val quota = kernel.register(MeshQuota(traffic, settings.id, state, peers, clock, ::onUnreachable))
     private val entry =
-        kernel.register(MeshEntry(state, platform.callers, MeshQuota(state, incarnation), sender, events, clock))
+        kernel.register(MeshEntry(state, platform.callers, quota, sender, events, clock))
     private val fleet =
         kernel.register(
             ControlService(control, self(), platform.connectTable(control), clock, platform.control, ::fetchConfig, ::publish),
@@ -155,6 +154,8 @@
         control.execute { fleet.announce(info) }
     }
 
+    private fun onUnreachable(id: String) = control.execute { fleet.onUnreachable(id) }
+
     private fun readiness() = if (state.ready(clock.nowMs())) textResponse(OK, "ready") else textResponse(UNAVAILABLE, "not ready")
 
     private fun publish(publication: Publication) =
@@ -222,7 +223,7 @@
     private inner class PeerCalls : PeerHandler {
         override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) = guard.forward(request, onReply)
 
-        override fun share(report: DemandReport): RateGrants = RateGrants.getDefaultInstance()
+        override fun share(report: DemandReport): RateGrants = quota.onReport(report)
 
         override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
             val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -123,6 +123,7 @@
         private fun onAnswer(member: Member, response: HttpResponse) {
             arrivals++
             router.onOutcome(member.id, response.status < SERVER_ERROR, clock.nowMs())
+            if (response.status >= SERVER_ERROR) mayHaveRun = true
             if (response.status < SERVER_ERROR || !mayRepeat()) return finish(MeshResult.Answered(response))
             failure = response
             place(Refusal.ANSWER_LOST)
--- a/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
@@ -10,7 +10,7 @@
 /** What the path of requests knows of the fleet; replaced as a whole by the control duty. */
 class FleetView(
     val self: Member,
-    members: Collection<Member>,
+    val members: Collection<Member>,
     val configuration: Configuration,
 ) {
     private val byId = members.associateBy { it.id }
--- a/wire/src/main/java/wigeonreel/wire/AccountDemand.java
+++ b/wire/src/main/java/wigeonreel/wire/AccountDemand.java
@@ -94,6 +94,21 @@
     return perSecond_;
   }
 
+  public static final int HELD_PER_SECOND_FIELD_NUMBER = 3;
+  private double heldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Granted rate that the daemon still holds.
+   * </pre>
+   *
+   * <code>double held_per_second = 3;</code>
+   * @return The heldPerSecond.
+   */
+  @java.lang.Override
+  public double getHeldPerSecond() {
+    return heldPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -114,6 +129,9 @@
     if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
       output.writeDouble(2, perSecond_);
     }
+    if (java.lang.Double.doubleToRawLongBits(heldPerSecond_) != 0) {
+      output.writeDouble(3, heldPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +148,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(2, perSecond_);
     }
+    if (java.lang.Double.doubleToRawLongBits(heldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(3, heldPerSecond_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -150,6 +172,9 @@
     if (java.lang.Double.doubleToLongBits(getPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getPerSecond())) return false;
+    if (java.lang.Double.doubleToLongBits(getHeldPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getHeldPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -166,6 +191,9 @@
     hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getPerSecond()));
+    hash = (37 * hash) + HELD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getHeldPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -299,6 +327,7 @@
       bitField0_ = 0;
       account_ = "";
       perSecond_ = 0D;
+      heldPerSecond_ = 0D;
       return this;
     }
 
@@ -338,6 +367,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.perSecond_ = perSecond_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.heldPerSecond_ = heldPerSecond_;
+      }
     }
 
     @java.lang.Override
@@ -392,6 +424,9 @@
       if (other.getPerSecond() != 0D) {
         setPerSecond(other.getPerSecond());
       }
+      if (other.getHeldPerSecond() != 0D) {
+        setHeldPerSecond(other.getHeldPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -428,6 +463,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 17
+            case 25: {
+              heldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 25
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -560,6 +600,50 @@
       onChanged();
       return this;
     }
+
+    private double heldPerSecond_ ;
+    /**
+     * <pre>
+     * Granted rate that the daemon still holds.
+     * </pre>
+     *
+     * <code>double held_per_second = 3;</code>
+     * @return The heldPerSecond.
+     */
+    @java.lang.Override
+    public double getHeldPerSecond() {
+      return heldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Granted rate that the daemon still holds.
+     * </pre>
+     *
+     * <code>double held_per_second = 3;</code>
+     * @param value The heldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldPerSecond(double value) {
+
+      heldPerSecond_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Granted rate that the daemon still holds.
+     * </pre>
+     *
+     * <code>double held_per_second = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      heldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/AccountDemandOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/AccountDemandOrBuilder.java
@@ -29,4 +29,14 @@
    * @return The perSecond.
    */
   double getPerSecond();
+
+  /**
+   * <pre>
+   * Granted rate that the daemon still holds.
+   * </pre>
+   *
+   * <code>double held_per_second = 3;</code>
+   * @return The heldPerSecond.
+   */
+  double getHeldPerSecond();
 }
--- a/wire/src/main/java/wigeonreel/wire/RateGrant.java
+++ b/wire/src/main/java/wigeonreel/wire/RateGrant.java
@@ -90,17 +90,6 @@
     return perSecond_;
   }
 
-  public static final int BURST_FIELD_NUMBER = 3;
-  private double burst_ = 0D;
-  /**
-   * <code>double burst = 3;</code>
-   * @return The burst.
-   */
-  @java.lang.Override
-  public double getBurst() {
-    return burst_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -121,9 +110,6 @@
     if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
       output.writeDouble(2, perSecond_);
     }
-    if (java.lang.Double.doubleToRawLongBits(burst_) != 0) {
-      output.writeDouble(3, burst_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -140,10 +126,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(2, perSecond_);
     }
-    if (java.lang.Double.doubleToRawLongBits(burst_) != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(3, burst_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -164,9 +146,6 @@
     if (java.lang.Double.doubleToLongBits(getPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getPerSecond())) return false;
-    if (java.lang.Double.doubleToLongBits(getBurst())
-        != java.lang.Double.doubleToLongBits(
-            other.getBurst())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -183,9 +162,6 @@
     hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getPerSecond()));
-    hash = (37 * hash) + BURST_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getBurst()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -319,7 +295,6 @@
       bitField0_ = 0;
       account_ = "";
       perSecond_ = 0D;
-      burst_ = 0D;
       return this;
     }
 
@@ -359,9 +334,6 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.perSecond_ = perSecond_;
       }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.burst_ = burst_;
-      }
     }
 
     @java.lang.Override
@@ -416,9 +388,6 @@
       if (other.getPerSecond() != 0D) {
         setPerSecond(other.getPerSecond());
       }
-      if (other.getBurst() != 0D) {
-        setBurst(other.getBurst());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -455,11 +424,6 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 17
-            case 25: {
-              burst_ = input.readDouble();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 25
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -580,38 +544,6 @@
       onChanged();
       return this;
     }
-
-    private double burst_ ;
-    /**
-     * <code>double burst = 3;</code>
-     * @return The burst.
-     */
-    @java.lang.Override
-    public double getBurst() {
-      return burst_;
-    }
-    /**
-     * <code>double burst = 3;</code>
-     * @param value The burst to set.
-     * @return This builder for chaining.
-     */
-    public Builder setBurst(double value) {
-
-      burst_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>double burst = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearBurst() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      burst_ = 0D;
-      onChanged();
-      return this;
-    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/RateGrantOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/RateGrantOrBuilder.java
@@ -25,10 +25,4 @@
    * @return The perSecond.
    */
   double getPerSecond();
-
-  /**
-   * <code>double burst = 3;</code>
-   * @return The burst.
-   */
-  double getBurst();
 }
