--- /dev/null
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -0,0 +1,178 @@
+package wigeonreel.standin
+
+import io.netty.channel.EventLoopGroup
+import wigeonreel.control.ControlPolicy
+import wigeonreel.daemon.steadyClock
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpConnector
+import wigeonreel.http.HttpExchange
+import wigeonreel.http.HttpFault
+import wigeonreel.http.HttpHandler
+import wigeonreel.http.HttpHeader
+import wigeonreel.http.HttpLimits
+import wigeonreel.http.HttpListener
+import wigeonreel.http.HttpRequest
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.HttpResult
+import wigeonreel.http.dutyLoop
+import wigeonreel.http.textResponse
+import wigeonreel.mesh.MeshDaemon
+import wigeonreel.mesh.MeshPlatform
+import wigeonreel.mesh.MeshSettings
+import wigeonreel.place.Place
+import wigeonreel.platform.ExpectedBackend
+import wigeonreel.platform.HttpTableService
+import wigeonreel.platform.InstanceReports
+import wigeonreel.platform.OPERATOR_FORMAT
+import wigeonreel.platform.SidecarProtocol
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Backend server of a test: counts what it runs and answers by [behaviour]. */
+class FakeServer(
+    val service: String,
+    loop: EventLoopGroup,
+) : HttpHandler {
+    val address = HttpAddress("127.0.0.1", freePort())
+    val seen = CopyOnWriteArrayList<HttpRequest>()
+
+    @Volatile
+    var behaviour: (HttpExchange) -> Unit = { it.respond(signed(it.request, 200, "from $service")) }
+
+    init {
+        HttpListener("server", loop, address.host, address.port, HttpLimits(), this).start()
+    }
+
+    override fun handle(exchange: HttpExchange) {
+        seen += exchange.request
+        behaviour(exchange)
+    }
+
+    override fun reject(fault: HttpFault) = textResponse(400, "malformed")
+
+    companion object {
+        fun signed(request: HttpRequest, status: Int, text: String): HttpResponse {
+            val id = request.header("X-Attempt-Id").orEmpty()
+            val headers = listOf(HttpHeader("X-Attempt-Id", id), HttpHeader("X-Response-Signature", "sig-$id"))
+            return HttpResponse(status, headers, text.encodeToByteArray())
+        }
+    }
+}
+
+/** Daemon of a test with the server beside it. */
+class FakeVm(
+    val server: FakeServer,
+    val callers: HttpAddress,
+    val control: HttpAddress,
+    val readiness: HttpAddress,
+    val daemon: MeshDaemon,
+)
+
+/** Mesh daemons with their servers and a table stand-in, in one process on the loopback address. */
+class MeshFleet(
+    services: List<String>,
+) : AutoCloseable {
+    private val loop = dutyLoop("fakes")
+    private val connector = HttpConnector(loop)
+    private val beats = AtomicInteger()
+    private val draining = ConcurrentHashMap.newKeySet<FakeVm>()
+    private val storeAddress = HttpAddress("127.0.0.1", freePort())
+    private val table = HttpTableService(connector, storeAddress, 1_000)
+
+    init {
+        HttpListener("store", loop, storeAddress.host, storeAddress.port, HttpLimits(), TableStandin(loop)).start()
+    }
+
+    val vms: List<FakeVm> = services.mapIndexed { index, service -> vm(index, service) }
+
+    init {
+        vms.forEach { it.daemon.start() }
+        loop.scheduleAtFixedRate({ vms.forEach { beat(it) } }, 0, BEAT_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun vm(index: Int, service: String): FakeVm {
+        val server = FakeServer(service, loop)
+        val (callers, control, readiness, metrics) = List(4) { HttpAddress("127.0.0.1", freePort()) }
+        val settings =
+            MeshSettings(
+                id = "d$index",
+                place = Place("r", "z$index"),
+                callers = callers,
+                control = control,
+                readiness = readiness,
+                peers = HttpAddress("127.0.0.1", freePort()),
+                metrics = metrics,
+                http = HttpLimits(),
+                graceMs = 6_000,
+                repeatRatio = 0.2,
+            )
+        val protocol = SidecarProtocol { service }
+        val platform =
+            MeshPlatform(protocol, protocol, ControlPolicy(OPERATOR_FORMAT, ownsConfiguration = false)) { own ->
+                HttpTableService(HttpConnector(own), storeAddress, 1_000)
+            }
+        val daemon = MeshDaemon(settings, platform, steadyClock()) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
+        return FakeVm(server, callers, control, readiness, daemon)
+    }
+
+    private fun beat(vm: FakeVm) {
+        val state = if (vm in draining) "draining" else "ready"
+        val body =
+            """{"address":"${vm.server.address}","info":{"service":"${vm.server.service}","version":"v","zone":"z","slots":20},""" +
+                """"status":{"state":"$state","seq":${beats.incrementAndGet()},"coldLeftS":0},"born":1}"""
+        val request = HttpRequest("POST", "/Instances.Heartbeat/i-${vm.server.address.port}", body = body.encodeToByteArray())
+        connector.send(vm.control, request, 1_000) { }
+    }
+
+    /** Lets the server of [vm] say that it leaves, and waits for the acknowledgement. */
+    fun drain(vm: FakeVm) {
+        draining += vm
+        call(vm.control, HttpRequest("POST", "/Instances.Deregister/i-${vm.server.address.port}"))
+    }
+
+    /** Writes a configuration of the operators. */
+    fun configure(document: String) {
+        val done = CompletableFuture<Boolean>()
+        loop.execute { table.write(OPERATOR_FORMAT.row, document, null) { done.complete(it.isRight()) } }
+        check(done.get(5, TimeUnit.SECONDS)) { "the stand-in refused the configuration" }
+    }
+
+    /** Turns a fault of the store on, or all off with `none`. */
+    fun storeFault(mode: String) = call(storeAddress, HttpRequest("GET", "/_fault?mode=$mode&ms=300"))
+
+    /** Sends a request of a caller and waits for its answer. */
+    fun call(to: HttpAddress, request: HttpRequest): HttpResult {
+        val done = CompletableFuture<HttpResult>()
+        loop.execute { connector.send(to, request, 10_000) { done.complete(it) } }
+        return done.get(15, TimeUnit.SECONDS)
+    }
+
+    /** Sends a call without waiting, as a server does while it runs a request. */
+    fun callLater(to: HttpAddress, request: HttpRequest, onResult: (HttpResult) -> Unit) {
+        connector.send(to, request, 5_000) { onResult(it) }
+    }
+
+    /** Waits until [condition] holds. */
+    fun await(what: String, condition: () -> Boolean) {
+        val untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(30)
+        while (!condition()) {
+            check(System.nanoTime() < untilNs) { "not within 30 s: $what" }
+            Thread.sleep(20)
+        }
+    }
+
+    override fun close() {
+        loop.shutdownGracefully()
+    }
+
+    private companion object {
+        const val BEAT_MS = 300L
+    }
+}
+
+internal fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
--- /dev/null
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
@@ -0,0 +1,145 @@
+package wigeonreel.standin
+
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import wigeonreel.http.HttpAddress
+import wigeonreel.http.HttpHeader
+import wigeonreel.http.HttpRequest
+import wigeonreel.http.HttpResponse
+import wigeonreel.http.HttpResult
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The path of requests over real sockets: caller, daemon, daemon, server, and a server's own call back out. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class MeshPathTest {
+    private val fleet = MeshFleet(listOf("front", "back", "back"))
+    private val front = fleet.vms[0]
+    private val back = fleet.vms[1]
+    private val spare = fleet.vms[2]
+    private val ids = AtomicInteger()
+
+    private fun route(name: String, service: String, kind: String, open: Boolean) =
+        """{"name":"$name","host":"h.example","prefix":"/$name/","kind":"$kind","timeoutS":2,"targetLatencyS":1,"priority":1,""" +
+            """"service":"$service","attempts":2,"public":$open}"""
+
+    private fun configuration(version: String, keys: String = "\"k1\"", extra: String = "") =
+        """{"version":"$version","routes":[${route("view", "front", "idempotent", false)},${route("book", "back", "non_idempotent", false)},""" +
+            """${route("read", "back", "idempotent", false)},${route("inner", "back", "idempotent", true)}$extra],""" +
+            """"services":[{"name":"front"},{"name":"back"}],"limits":{},""" +
+            """"tenants":[{"name":"t","apiKeys":[$keys],"ratePerS":1000,"burst":1000}]}"""
+
+    @BeforeAll
+    fun start() {
+        fleet.configure(configuration("00000001"))
+        fleet.await("the fleet serves") { send("/view/x").status == 200 && send("/read/x").status == 200 && send("/book/x", method = "POST").status == 200 }
+        fleet.await("both servers of the service are found") { (1..10).forEach { _ -> send("/read/x", to = spare.callers) }.let { spare.server.seen.isNotEmpty() && back.server.seen.isNotEmpty() } }
+    }
+
+    @AfterAll
+    fun stop() = fleet.close()
+
+    @BeforeEach
+    fun calm() {
+        fleet.vms.forEach { vm ->
+            vm.server.seen.clear()
+            vm.server.behaviour = { it.respond(FakeServer.signed(it.request, 200, "from ${vm.server.service}")) }
+        }
+    }
+
+    private fun headers(vararg more: Pair<String, String>) =
+        (listOf("Host" to "h.example", "X-Attempt-Id" to "a${ids.incrementAndGet()}", "X-Deadline-Ms" to "2000") + more).map { HttpHeader(it.first, it.second) }
+
+    private fun send(
+        path: String,
+        method: String = "GET",
+        key: String? = "k1",
+        to: HttpAddress = front.callers,
+        body: ByteArray = ByteArray(0),
+    ): HttpResponse {
+        val sent = if (key == null) headers() else headers("X-Credential" to key)
+        return (fleet.call(to, HttpRequest(method, path, sent, body)) as? HttpResult.Answer)?.response ?: HttpResponse(0)
+    }
+
+    private val runs get() = fleet.vms.flatMap { it.server.seen }
+
+    @Test
+    fun `a request reaches a server of its route with the account's name and without the key`() {
+        val answer = send("/book/x?q=1", "POST", body = "hello".encodeToByteArray())
+        expectThat(answer.status).isEqualTo(200)
+        expectThat(answer.header("X-Response-Signature")).isNotNull()
+        expectThat(runs).hasSize(1).get { single() }.and {
+            get { uri }.isEqualTo("/book/x?q=1")
+            get { body.decodeToString() }.isEqualTo("hello")
+            get { header("X-Tenant") }.isEqualTo("t")
+            get { header("X-Caller-Service") }.isEqualTo("front")
+            get { header("X-Credential") }.isNull()
+            get { header("X-Expected-Instance") }.isNotNull()
+        }
+    }
+
+    @Test
+    fun `a server's own call goes back out and its answer into the first one`() {
+        front.server.behaviour = { exchange ->
+            fleet.callLater(front.callers, HttpRequest("GET", "/inner/x", headers())) { result ->
+                val inner = (result as? HttpResult.Answer)?.response?.text
+                exchange.respond(FakeServer.signed(exchange.request, 200, "front of $inner"))
+            }
+        }
+        expectThat(send("/view/x").text).isEqualTo("front of from back")
+    }
+
+    @Test
+    fun `unknown routes and keys are refused and run nowhere`() {
+        expectThat(send("/none/x").status).isEqualTo(404)
+        expectThat(send("/view/x", key = "wrong").status).isEqualTo(401)
+        expectThat(send("/view/x", key = null).status).isEqualTo(401)
+        expectThat(send("/inner/x", key = "wrong").status).isEqualTo(401)
+        expectThat(runs).hasSize(0)
+    }
+
+    /** A server's 500 means that it has run the request: found by the bench as a request that ran twice. */
+    @Test
+    fun `a non-idempotent request that a server failed is not sent again`() {
+        listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(FakeServer.signed(it.request, 500, "broken")) } }
+        repeat(20) { expectThat(send("/book/x", "POST").status).isEqualTo(500) }
+        expectThat(runs).hasSize(20)
+    }
+
+    @Test
+    fun `a non-idempotent request whose answer is lost is told as unknown and not sent again`() {
+        listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(HttpResponse(200, emptyList(), "no proof".encodeToByteArray())) } }
+        expectThat(send("/book/x", "POST").status).isEqualTo(504)
+        listOf(back, spare).forEach { vm ->
+            vm.server.behaviour = { it.respond(HttpResponse(200, listOf(HttpHeader("X-Attempt-Id", it.request.header("X-Attempt-Id").orEmpty())))) }
+        }
+        expectThat(send("/book/x", "POST").status).isEqualTo(502)
+        expectThat(runs).hasSize(2)
+    }
+
+    @Test
+    fun `a request that a server turns away unrun goes to another or is refused as not run`() {
+        val shed = HttpResponse(503, listOf(HttpHeader("X-Not-Executed", "1")))
+        back.server.behaviour = { it.respond(shed) }
+        spare.server.behaviour = { it.respond(shed) }
+        expectThat(send("/book/x", "POST").status).isEqualTo(503)
+    }
+
+    @Test
+    fun `a withdrawn key and an added route take hold, also while the store forgets its history`() {
+        fleet.storeFault("forget")
+        fleet.configure(configuration("00000005", keys = "\"k1\",\"k2\"", extra = "," + route("added", "front", "idempotent", false)))
+        fleet.await("the new key and route work") { fleet.vms.all { send("/added/x", key = "k2", to = it.callers).status == 200 } }
+        fleet.storeFault("none")
+        fleet.configure(configuration("00000009"))
+        fleet.await("the key stops working") { fleet.vms.all { send("/view/x", key = "k2", to = it.callers).status == 401 } }
+        expectThat(send("/added/x").status).isEqualTo(404)
+    }
+}
