--- a/core/src/main/kotlin/wigeonreel/backend/BackendTracker.kt
+++ b/core/src/main/kotlin/wigeonreel/backend/BackendTracker.kt
@@ -14,9 +14,23 @@
         val startedAtMs: Long?,
     )
 
+    /** Departure of [instance]; when its start is not known, of every start up to [notAfterMs]. */
+    private data class Departure(
+        val instance: String,
+        val startedAtMs: Long?,
+        val notAfterMs: Long,
+    ) {
+        fun covers(start: Start) =
+            start.instance == instance &&
+                (
+                    start.startedAtMs == null ||
+                        (if (startedAtMs != null) start.startedAtMs == startedAtMs else start.startedAtMs <= notAfterMs)
+                )
+    }
+
     private var start: Start? = null
     private var sequence = Long.MIN_VALUE
-    private val left = LinkedHashSet<Start>()
+    private val left = LinkedHashSet<Departure>()
 
     /** Latest report in force, or null while none came or after the server has left. */
     var current: BackendReport? = null
@@ -28,19 +42,19 @@
     /** Takes a report. */
     fun report(report: BackendReport): ReportOutcome {
         val said = Start(report.instance, report.startedAtMs)
-        if (said in left || isEarlierStart(report)) return ReportOutcome.OUTDATED
+        if (left.any { it.covers(said) } || isEarlierStart(report)) return ReportOutcome.OUTDATED
         if (said != start) return replace(report, said)
         if (report.sequence != null && report.sequence <= sequence) return onRepeated(report)
         sequence = report.sequence ?: sequence
         return keep(report)
     }
 
-    /** Notes that the server [instance] leaves for good; returns whether it is the current one. */
-    fun leave(instance: String, startedAtMs: Long?): Boolean {
+    /** Notes at [nowMs] that the server [instance] leaves for good; returns whether it is the current one. */
+    fun leave(instance: String, startedAtMs: Long?, nowMs: Long): Boolean {
         val known = current
         val isCurrent =
             known?.instance == instance && (startedAtMs == null || known.startedAtMs == null || known.startedAtMs == startedAtMs)
-        remember(Start(instance, startedAtMs ?: known?.startedAtMs?.takeIf { isCurrent }))
+        remember(Departure(instance, startedAtMs ?: known?.startedAtMs?.takeIf { isCurrent }, nowMs))
         if (isCurrent) current = known?.copy(state = BackendState.DRAINING)
         return isCurrent
     }
@@ -67,7 +81,7 @@
         return if (leaving) ReportOutcome.LEAVING else ReportOutcome.UPDATED
     }
 
-    private fun remember(gone: Start) {
+    private fun remember(gone: Departure) {
         left += gone
         if (left.size > MAX_REMEMBERED) left.remove(left.first())
     }
--- /dev/null
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
@@ -0,0 +1,47 @@
+package wigeonreel.limit
+
+import wigeonreel.config.AccountConfig
+
+/** Tokens handed out for [account]; when none are, [waitMs] tells when there may be some. */
+data class TokenGrant(
+    val account: String,
+    val tokens: Int,
+    val waitMs: Int,
+)
+
+/**
+ * Pool of the account limits at the fleet's steward.
+ *
+ * Load pattern: the callers of one account are few, sit on few daemons and move between them; fixed shares refuse there
+ * while the shares of other daemons lie idle. The pool holds as much of each limit as its part of the fleet: each daemon
+ * counts at one steward, so the pools of a fleet that is cut in two never hold more than the limit together.
+ */
+class TokenPool {
+    private val heardAtMs = HashMap<String, Long>()
+    private val buckets = HashMap<String, TokenBucket>()
+
+    /** Hands out up to [wanted] tokens by account to [daemon], one of [daemons] in the fleet. */
+    fun ask(daemon: String, wanted: Map<AccountConfig, Int>, daemons: Int, nowMs: Long): List<TokenGrant> {
+        heardAtMs[daemon] = nowMs
+        heardAtMs.values.removeIf { nowMs - it > COUNTED_MS }
+        val part = (heardAtMs.size.toDouble() / daemons.coerceAtLeast(1)).coerceAtMost(1.0)
+        return wanted.map { (account, tokens) -> grant(account, tokens, part, nowMs) }
+    }
+
+    private fun grant(account: AccountConfig, tokens: Int, part: Double, nowMs: Long): TokenGrant {
+        val rate = account.ratePerSecond * part
+        val burst = account.burst * part
+        val bucket = buckets.getOrPut(account.name) { TokenBucket(rate, burst, nowMs) }
+        bucket.reshape(rate, maxOf(burst, LEAST_BURST), nowMs)
+        val granted = bucket.take(tokens)
+        return TokenGrant(account.name, granted, if (granted > 0) 0 else bucket.waitMs())
+    }
+
+    private companion object {
+        /** Time for which a daemon counts after it was heard, in milliseconds: three reports. */
+        const val COUNTED_MS = 1_500L
+
+        /** A pool can save up at least one request. */
+        const val LEAST_BURST = 1.0
+    }
+}
--- a/core/src/test/kotlin/wigeonreel/backend/BackendTrackerTest.kt
+++ b/core/src/test/kotlin/wigeonreel/backend/BackendTrackerTest.kt
@@ -37,15 +37,28 @@
             }, "a", true),
             Case(
                 "departure, then a late heartbeat",
-                { report(report()).also { leave("a", null) }.also { report(report(sequence = 2)) } },
+                { report(report()).also { leave("a", null, 500) }.also { report(report(sequence = 2)) } },
                 "a",
                 false,
             ),
-            Case("departure before any heartbeat", { leave("a", 100).also { report(report()) } }, null, false),
-            Case("departure of another server", { report(report()).also { leave("b", null) } }, "a", true),
+            Case("departure before any heartbeat", { leave("a", 100, 500).also { report(report()) } }, null, false),
+            // Found by hunt-e0e4-3: the daemon had restarted, and a heartbeat of before the departure came after it.
+            Case(
+                "departure without its start before any heartbeat, then a late one",
+                { leave("a", null, 500).also { report(report(sequence = 28)) } },
+                null,
+                false,
+            ),
+            Case(
+                "new start under the same id after such a departure",
+                { leave("a", null, 500).also { report(report(startedAtMs = 900)) } },
+                "a",
+                true,
+            ),
+            Case("departure of another server", { report(report()).also { leave("b", null, 500) } }, "a", true),
             Case(
                 "successor after a departure",
-                { report(report()).also { leave("a", 100) }.also { report(report("b", 1, 300)) } },
+                { report(report()).also { leave("a", 100, 500) }.also { report(report("b", 1, 300)) } },
                 "b",
                 true,
             ),
--- a/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
@@ -44,11 +44,11 @@
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
 import wigeonreel.wire.ConfigReceipt
-import wigeonreel.wire.DemandReport
 import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
-import wigeonreel.wire.RateGrants
+import wigeonreel.wire.TokenGrants
+import wigeonreel.wire.TokenRequest
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -182,8 +182,8 @@
 
         override fun block(request: BlockRequest) = home.block(request)
 
-        /** Limits of this interface are lent through seats; no rates are shared. */
-        override fun share(request: DemandReport): RateGrants = RateGrants.getDefaultInstance()
+        /** Limits of this interface are lent through seats; there is no pool. */
+        override fun takeTokens(request: TokenRequest): TokenGrants = TokenGrants.getDefaultInstance()
 
         override fun borrow(request: BorrowRequest) = limits.lend(request)
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -5,11 +5,14 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.EventLoopGroup
 import wigeonreel.backend.BackendReport
+import wigeonreel.backend.BackendState
 import wigeonreel.backend.ReportOutcome
 import wigeonreel.codec.toCore
 import wigeonreel.codec.toWire
 import wigeonreel.control.ControlPolicy
 import wigeonreel.control.ControlService
+import wigeonreel.control.Departure
+import wigeonreel.control.DepartureRecord
 import wigeonreel.control.Publication
 import wigeonreel.daemon.Clock
 import wigeonreel.http.HttpAddress
@@ -40,11 +43,11 @@
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
 import wigeonreel.wire.ConfigReceipt
-import wigeonreel.wire.DemandReport
 import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
-import wigeonreel.wire.RateGrants
+import wigeonreel.wire.TokenGrants
+import wigeonreel.wire.TokenRequest
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -93,11 +96,14 @@
     private val quota = kernel.register(MeshQuota(traffic, settings.id, state, peers, clock, ::onUnreachable))
     private val entry =
         kernel.register(MeshEntry(state, platform.callers, quota, sender, events, clock))
+    private val table = platform.connectTable(control)
+    private val departures = DepartureRecord(control, table, settings.id)
     private val fleet =
         kernel.register(
-            ControlService(control, self(), platform.connectTable(control), clock, platform.control, ::fetchConfig, ::publish),
+            ControlService(control, self(), table, clock, platform.control, ::fetchConfig, ::publish),
         )
     private var announcedReady = false
+    private var recorded: String? = null
 
     init {
         val limit = settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES
@@ -115,7 +121,9 @@
 
     /** Starts all services. */
     fun start() {
+        state.recordAwaitedUntilMs = clock.nowMs() + RECORD_WAIT_MS
         kernel.start()
+        control.execute { departures.read { departure -> traffic.execute { onRecordRead(departure) } } }
         traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
         events.changed("start", "id=${settings.id} incarnation=$incarnation service=${settings.place}")
     }
@@ -156,6 +164,12 @@
 
     private fun onUnreachable(id: String) = control.execute { fleet.onUnreachable(id) }
 
+    private fun onRecordRead(departure: Departure?) {
+        state.recordAwaitedUntilMs = 0
+        departure?.let { state.backend.leave(it.instance, it.startedAtMs, it.recordedAtMs) }
+        announce()
+    }
+
     private fun readiness() = if (state.ready(clock.nowMs())) textResponse(OK, "ready") else textResponse(UNAVAILABLE, "not ready")
 
     private fun publish(publication: Publication) =
@@ -197,6 +211,7 @@
         override fun report(report: BackendReport): ReportOutcome {
             val outcome = state.backend.report(report)
             events.reported(report, outcome)
+            if (report.state == BackendState.DRAINING && outcome != ReportOutcome.OUTDATED) record(report.instance, report.startedAtMs)
             if (outcome == ReportOutcome.NEW_SERVER) state.backendDownUntilMs = 0
             if (outcome != ReportOutcome.OUTDATED) {
                 guard.onServer(report, outcome == ReportOutcome.NEW_SERVER)
@@ -206,10 +221,18 @@
         }
 
         override fun leave(instance: String, startedAtMs: Long?) {
-            val current = state.backend.leave(instance, startedAtMs)
+            val current = state.backend.leave(instance, startedAtMs, clock.nowMs())
             events.changed("backend-leaves", "instance=$instance current=$current")
+            record(instance, startedAtMs)
             if (current) announce()
         }
+
+        private fun record(instance: String, startedAtMs: Long?) {
+            if (instance == recorded) return
+            recorded = instance
+            val departure = Departure(instance, startedAtMs, clock.nowMs())
+            control.execute { departures.write(departure) }
+        }
     }
 
     private class PageHandler(
@@ -223,7 +246,7 @@
     private inner class PeerCalls : PeerHandler {
         override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) = guard.forward(request, onReply)
 
-        override fun share(report: DemandReport): RateGrants = quota.onReport(report)
+        override fun takeTokens(request: TokenRequest): TokenGrants = quota.onRequest(request)
 
         override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
             val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
@@ -243,7 +266,10 @@
         const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
         const val MESSAGE_OVERHEAD_BYTES = 65_536
-        const val TICK_MS = 20L
+        const val TICK_MS = 50L
+
+        /** Longest wait for the record of departures; a server that leaves serves on for about as long, in milliseconds. */
+        const val RECORD_WAIT_MS = 2_500L
         const val FETCH_TIMEOUT_MS = 1_000L
         const val NS_PER_MS = 1_000_000L
         const val STOP_POLL_MS = 50L
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -50,7 +50,21 @@
     }
 
     private fun enter(exchange: HttpExchange, request: CallerRequest, nowMs: Long) =
-        accept(request, nowMs).fold({ refuse(exchange, request, it) }, { send(exchange, it) })
+        accept(request, nowMs).fold({ refuse(exchange, request, it) }, { admit(exchange, it) })
+
+    private fun admit(exchange: HttpExchange, call: MeshCall) {
+        val account = call.account ?: return send(exchange, call)
+        var left = false
+        exchange.onAbort { left = true }
+        quota.admit(account) { within ->
+            when {
+                left && within -> quota.giveBack(account)
+                left -> Unit
+                within -> send(exchange, call)
+                else -> refuse(exchange, call.request, Refusal.OVER_RATE, quota.waitMs(account))
+            }
+        }
+    }
 
     private fun accept(request: CallerRequest, nowMs: Long): Either<Refusal, MeshCall> =
         either {
@@ -58,7 +72,6 @@
             ensure(request.key == null || !state.isolated(nowMs)) { Refusal.ISOLATED }
             val route = ensureNotNull(view.configuration.routes.find(request.host, request.http.path)) { Refusal.ROUTE_UNKNOWN }
             val account = accountOf(request, route, view.configuration).bind()
-            ensure(account == null || quota.admit(account, nowMs)) { Refusal.OVER_RATE }
             val waitMs = minOf(request.waitMs ?: route.timeoutMs, route.timeoutMs)
             val headers = protocol.headersFor(request, account)
             MeshCall(request, route, split.next(route), account, headers, account == null, nowMs, nowMs + waitMs)
@@ -97,8 +110,8 @@
         }
     }
 
-    private fun refuse(exchange: HttpExchange, request: CallerRequest?, refusal: Refusal) {
+    private fun refuse(exchange: HttpExchange, request: CallerRequest?, refusal: Refusal, retryAfterMs: Int = refusal.retryAfterMs) {
         events.refused(request, refusal)
-        exchange.respond(protocol.refusal(refusal, refusal.retryAfterMs), close = state.leaving || refusal == Refusal.KEY_INVALID)
+        exchange.respond(protocol.refusal(refusal, retryAfterMs), close = state.leaving || refusal == Refusal.KEY_INVALID)
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -4,20 +4,24 @@
 import wigeonreel.config.AccountConfig
 import wigeonreel.daemon.Clock
 import wigeonreel.kernel.Service
-import wigeonreel.limit.RateDemand
-import wigeonreel.limit.RateGrant
-import wigeonreel.limit.RateShare
-import wigeonreel.limit.RateSteward
+import wigeonreel.limit.Taken
+import wigeonreel.limit.TokenGrant
+import wigeonreel.limit.TokenPool
+import wigeonreel.limit.TokenStock
 import wigeonreel.membership.Member
+import wigeonreel.membership.MemberState
 import wigeonreel.peer.PeerClients
 import wigeonreel.traffic.FleetView
-import wigeonreel.wire.AccountDemand
-import wigeonreel.wire.DemandReport
-import wigeonreel.wire.RateGrants
+import wigeonreel.wire.TokenGrants
+import wigeonreel.wire.TokenRequest
+import wigeonreel.wire.TokenWant
 import java.util.concurrent.TimeUnit
-import wigeonreel.wire.RateGrant as WireGrant
+import wigeonreel.wire.TokenGrant as WireGrant
 
-/** Account limits at one daemon: its floors, and what the fleet's steward grants above them by demand. */
+/**
+ * Account limits at one daemon: tokens come from the pool of the fleet's steward, ahead of need while demand is steady,
+ * else when a request comes.
+ */
 class MeshQuota(
     private val loop: EventLoopGroup,
     private val selfId: String,
@@ -27,88 +31,112 @@
     private val onUnreachable: (String) -> Unit,
 ) : Service {
     override val name = "quota"
-    private val shares = HashMap<String, RateShare>()
-    private val steward = RateSteward()
+    private val stocks = HashMap<String, TokenStock>()
+    private val pool = TokenPool()
+    private val avoidedUntilMs = HashMap<String, Long>()
 
     override fun start() {
         loop.scheduleAtFixedRate(::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS)
     }
 
-    /** Takes one request of [account] if its share allows it. */
-    fun admit(account: AccountConfig, nowMs: Long): Boolean {
-        if (account.ratePerSecond <= 0.0) return true
-        val daemons = daemonsOf(state.view)
-        return shares.getOrPut(account.name) { RateShare(account, daemons, nowMs) }.admit(account, daemons, nowMs)
+    /** Takes one request of [account]; [onDecision] gets whether it is within the limit, within a few milliseconds. */
+    fun admit(account: AccountConfig, onDecision: (Boolean) -> Unit) {
+        if (account.ratePerSecond <= 0.0) return onDecision(true)
+        val stock = stockOf(account.name)
+        when (stock.take(clock.nowMs())) {
+            Taken.YES -> onDecision(true)
+            Taken.NO -> onDecision(false)
+            Taken.ASK -> ask(mapOf(account.name to 1)) { onDecision(stock.take(clock.nowMs()) == Taken.YES) }
+        }
     }
 
     /** Returns the token of a request that was not run. */
     fun giveBack(account: AccountConfig) {
-        shares[account.name]?.giveBack()
+        if (account.ratePerSecond > 0.0) stockOf(account.name).giveBack()
     }
 
-    /** Answers another daemon's report; without most of the fleet in sight nothing is granted, since another steward may be. */
-    fun onReport(report: DemandReport): RateGrants {
-        val view = state.view
-        if (view == null || !view.seesMost) return RateGrants.getDefaultInstance()
-        val demands = report.demandsList.associate { it.account to RateDemand(it.perSecond, it.heldPerSecond) }
-        val granted = steward.report(report.daemon, demands, view.configuration.accounts, view.knownDaemons, clock.nowMs())
-        return RateGrants.newBuilder().addAllGrants(granted.map { it.toWire() }).build()
+    /** Time after which a request of [account] that was refused may be within the limit again, in milliseconds. */
+    fun waitMs(account: AccountConfig): Int = stockOf(account.name).waitMs(clock.nowMs())
+
+    /** Answers another daemon that asks for tokens. */
+    fun onRequest(request: TokenRequest): TokenGrants {
+        val view = state.view ?: return TokenGrants.getDefaultInstance()
+        val accounts = view.configuration.accounts
+        val wanted = request.wantsList.mapNotNull { want -> accounts[want.account]?.let { it to want.tokens } }.toMap()
+        val grants = pool.ask(request.daemon, wanted, daemonsOf(view), clock.nowMs())
+        return TokenGrants.newBuilder().addAllGrants(grants.map { it.toWire() }).build()
     }
 
+    /** Asks ahead of need; the steward also counts the daemons by this. */
     private fun report() {
         val nowMs = clock.nowMs()
-        val view = state.view ?: return
-        val demands = shares.mapValues { it.value.measure(nowMs) }.filterValues { it.perSecond > LEAST_DEMAND }
-        val to = view.steward ?: return
-        if (demands.isEmpty()) return
-        val message = reportOf(demands)
-        if (to.id == selfId) return take(onReport(message), nowMs)
-        peers.call(to.address, ANSWER_MS, { it.share(message) }) { grants, _ ->
-            if (grants == null) onUnreachable(to.id) else take(grants, nowMs)
+        ask(stocks.mapValues { it.value.wanted(nowMs) }.filterValues { it > 0 }) { }
+    }
+
+    private fun ask(wants: Map<String, Int>, onAnswer: () -> Unit) {
+        val nowMs = clock.nowMs()
+        val steward = state.view?.let { stewardOf(it, nowMs) } ?: return onAnswer()
+        val entries =
+            wants.map { (account, tokens) ->
+                TokenWant
+                    .newBuilder()
+                    .setAccount(account)
+                    .setTokens(tokens)
+                    .build()
+            }
+        val request =
+            TokenRequest
+                .newBuilder()
+                .setDaemon(selfId)
+                .addAllWants(entries)
+                .build()
+        if (steward.id == selfId) {
+            take(onRequest(request))
+            return onAnswer()
+        }
+        peers.call(steward.address, ANSWER_MS, { it.takeTokens(request) }) { grants, _ ->
+            if (grants == null) avoid(steward.id) else take(grants)
+            onAnswer()
         }
     }
 
-    private fun reportOf(demands: Map<String, RateDemand>): DemandReport {
-        val entries = demands.map { (account, demand) -> demand.toWire(account) }
-        return DemandReport
-            .newBuilder()
-            .setDaemon(selfId)
-            .addAllDemands(entries)
-            .build()
+    private fun take(grants: TokenGrants) {
+        val nowMs = clock.nowMs()
+        grants.grantsList.forEach { stockOf(it.account).onGrant(TokenGrant(it.account, it.tokens, it.waitMs), nowMs) }
     }
 
-    private fun take(grants: RateGrants, askedAtMs: Long) =
-        grants.grantsList.forEach { shares[it.account]?.grant(it.perSecond, askedAtMs, clock.nowMs()) }
+    private fun avoid(id: String) {
+        avoidedUntilMs[id] = clock.nowMs() + AVOID_MS
+        onUnreachable(id)
+    }
 
-    /** A daemon that knows nobody yet must not take the whole limit for its own. */
-    private fun daemonsOf(view: FleetView?): Int = (view?.knownDaemons ?: 1).let { if (it > 1) it else ASSUMED_DAEMONS }
+    private fun stewardOf(view: FleetView, nowMs: Long): Member? =
+        view.members
+            .filter { it.id == selfId || (it.state == MemberState.ALIVE && (avoidedUntilMs[it.id] ?: 0) <= nowMs) }
+            .minByOrNull { it.id }
 
-    private fun RateDemand.toWire(account: String) =
-        AccountDemand
-            .newBuilder()
-            .setAccount(account)
-            .setPerSecond(perSecond)
-            .setHeldPerSecond(heldPerSecond)
-            .build()
+    private fun stockOf(account: String) = stocks.getOrPut(account) { TokenStock(clock.nowMs()) }
 
-    private fun RateGrant.toWire() =
+    /** A daemon that knows nobody yet must not take the whole limit for its own. */
+    private fun daemonsOf(view: FleetView): Int = if (view.knownDaemons > 1) view.knownDaemons else ASSUMED_DAEMONS
+
+    private fun TokenGrant.toWire() =
         WireGrant
             .newBuilder()
             .setAccount(account)
-            .setPerSecond(ratePerSecond)
+            .setTokens(tokens)
+            .setWaitMs(waitMs)
             .build()
 
-    private val FleetView.steward: Member? get() = members.filter { it.live }.minByOrNull { it.id }
-
-    private val FleetView.seesMost: Boolean get() = members.count { it.live } * 2 > knownDaemons
-
     private companion object {
-        /** Time between reports; a grant outlives two lost ones. */
-        const val REPORT_MS = 400L
-        const val ANSWER_MS = 300L
+        /** Time between reports; the pool counts a daemon for three of them. */
+        const val REPORT_MS = 500L
+
+        /** Longest wait for the steward: many round trips between regions, and less than callers notice. */
+        const val ANSWER_MS = 150L
 
-        /** Demand below this needs no grant, in requests a second. */
-        const val LEAST_DEMAND = 0.05
+        /** Time for which a steward that did not answer is passed over, in milliseconds. */
+        const val AVOID_MS = 2_000L
 
         /** Daemons assumed by one that knows no other. */
         const val ASSUMED_DAEMONS = 16
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -17,6 +17,9 @@
     /** Time until which the backend server is left alone after it refused connections, in milliseconds. */
     var backendDownUntilMs: Long = 0
 
+    /** Time until which a server's reports are not believed, since the record of departures is not read yet, in milliseconds. */
+    var recordAwaitedUntilMs: Long = 0
+
     /** Whether this daemon was told to stop. */
     var leaving = false
 
@@ -27,7 +30,7 @@
     fun isolated(nowMs: Long): Boolean = nowMs - heardAtMs > ISOLATED_AFTER_MS
 
     /** Whether the backend server takes new requests. */
-    fun backendReady(nowMs: Long): Boolean = backend.ready && nowMs >= backendDownUntilMs
+    fun backendReady(nowMs: Long): Boolean = backend.ready && nowMs >= maxOf(backendDownUntilMs, recordAwaitedUntilMs)
 
     /** Whether callers may send new requests here. */
     fun ready(nowMs: Long): Boolean = view != null && !leaving && !isolated(nowMs)
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -13,13 +13,13 @@
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
 import wigeonreel.wire.ConfigReceipt
-import wigeonreel.wire.DemandReport
 import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
-import wigeonreel.wire.RateGrants
 import wigeonreel.wire.RequestFrame
+import wigeonreel.wire.TokenGrants
+import wigeonreel.wire.TokenRequest
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -31,8 +31,8 @@
     /** Blocks an idempotency key or tells its outcome. */
     fun block(request: BlockRequest): BlockReply
 
-    /** Returns the rates granted for the demand that a daemon reports. */
-    fun share(report: DemandReport): RateGrants
+    /** Hands out tokens of client accounts. */
+    fun takeTokens(request: TokenRequest): TokenGrants
 
     /** Lends tokens of a client account's limit. */
     fun borrow(request: BorrowRequest): BorrowReply
@@ -89,7 +89,8 @@
 
     override fun borrow(request: BorrowRequest, responses: StreamObserver<BorrowReply>) = complete(responses, handler.borrow(request))
 
-    override fun share(request: DemandReport, responses: StreamObserver<RateGrants>) = complete(responses, handler.share(request))
+    override fun takeTokens(request: TokenRequest, responses: StreamObserver<TokenGrants>) =
+        complete(responses, handler.takeTokens(request))
 
     override fun fetchConfig(request: FetchConfigRequest, responses: StreamObserver<ConfigDelta>) =
         complete(responses, handler.fetchConfig(request))
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
@@ -31,7 +31,12 @@
             """"service":"$service","attempts":2,"public":$open}"""
 
     private fun configuration(version: String, keys: String = "\"k1\"", extra: String = "") =
-        """{"version":"$version","routes":[${route("view", "front", "idempotent", false)},${route("book", "back", "non_idempotent", false)},""" +
+        """{"version":"$version","routes":[${route(
+            "view",
+            "front",
+            "idempotent",
+            false,
+        )},${route("book", "back", "non_idempotent", false)},""" +
             """${route("read", "back", "idempotent", false)},${route("inner", "back", "idempotent", true)}$extra],""" +
             """"services":[{"name":"front"},{"name":"back"}],"limits":{},""" +
             """"tenants":[{"name":"t","apiKeys":[$keys],"ratePerS":1000,"burst":1000}]}"""
@@ -39,8 +44,17 @@
     @BeforeAll
     fun start() {
         fleet.configure(configuration("00000001"))
-        fleet.await("the fleet serves") { send("/view/x").status == 200 && send("/read/x").status == 200 && send("/book/x", method = "POST").status == 200 }
-        fleet.await("both servers of the service are found") { (1..10).forEach { _ -> send("/read/x", to = spare.callers) }.let { spare.server.seen.isNotEmpty() && back.server.seen.isNotEmpty() } }
+        fleet.await("the fleet serves") {
+            send("/view/x").status == 200 &&
+                send("/read/x").status == 200 &&
+                send("/book/x", method = "POST").status == 200
+        }
+        fleet.await("both servers of the service are found") {
+            (1..10).forEach { _ -> send("/read/x", to = spare.callers) }.let {
+                spare.server.seen.isNotEmpty() &&
+                    back.server.seen.isNotEmpty()
+            }
+        }
     }
 
     @AfterAll
@@ -55,7 +69,9 @@
     }
 
     private fun headers(vararg more: Pair<String, String>) =
-        (listOf("Host" to "h.example", "X-Attempt-Id" to "a${ids.incrementAndGet()}", "X-Deadline-Ms" to "2000") + more).map { HttpHeader(it.first, it.second) }
+        (listOf("Host" to "h.example", "X-Attempt-Id" to "a${ids.incrementAndGet()}", "X-Deadline-Ms" to "2000") + more).map {
+            HttpHeader(it.first, it.second)
+        }
 
     private fun send(
         path: String,
@@ -115,10 +131,14 @@
 
     @Test
     fun `a non-idempotent request whose answer is lost is told as unknown and not sent again`() {
-        listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(HttpResponse(200, emptyList(), "no proof".encodeToByteArray())) } }
+        listOf(back, spare).forEach { vm ->
+            vm.server.behaviour =
+                { it.respond(HttpResponse(200, emptyList(), "no proof".encodeToByteArray())) }
+        }
         expectThat(send("/book/x", "POST").status).isEqualTo(504)
         listOf(back, spare).forEach { vm ->
-            vm.server.behaviour = { it.respond(HttpResponse(200, listOf(HttpHeader("X-Attempt-Id", it.request.header("X-Attempt-Id").orEmpty())))) }
+            vm.server.behaviour =
+                { it.respond(HttpResponse(200, listOf(HttpHeader("X-Attempt-Id", it.request.header("X-Attempt-Id").orEmpty())))) }
         }
         expectThat(send("/book/x", "POST").status).isEqualTo(502)
         expectThat(runs).hasSize(2)
--- a/standin/src/test/kotlin/wigeonreel/standin/TableClientTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/TableClientTest.kt
@@ -51,7 +51,12 @@
 
     private fun watch(after: Long, waitMs: Long = 100): Either<StoreError, TableChanges> = result { table.watch("t", after, waitMs, it) }
 
-    private fun fault(mode: String) = result<HttpResult> { done -> connector.send(address, HttpRequest("GET", "/_fault?mode=$mode&ms=600"), 1_000) { done(it) } }
+    private fun fault(mode: String) =
+        result<HttpResult> { done ->
+            connector.send(address, HttpRequest("GET", "/_fault?mode=$mode&ms=600"), 1_000) {
+                done(it)
+            }
+        }
 
     @Test
     fun `rows are written under conditions and read back`() {
--- a/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
@@ -173,35 +173,35 @@
     return getOfferConfigMethod;
   }
 
-  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport,
-      wigeonreel.wire.RateGrants> getShareMethod;
+  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest,
+      wigeonreel.wire.TokenGrants> getTakeTokensMethod;
 
   @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "Share",
-      requestType = wigeonreel.wire.DemandReport.class,
-      responseType = wigeonreel.wire.RateGrants.class,
+      fullMethodName = SERVICE_NAME + '/' + "TakeTokens",
+      requestType = wigeonreel.wire.TokenRequest.class,
+      responseType = wigeonreel.wire.TokenGrants.class,
       methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
-  public static io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport,
-      wigeonreel.wire.RateGrants> getShareMethod() {
-    io.grpc.MethodDescriptor<wigeonreel.wire.DemandReport, wigeonreel.wire.RateGrants> getShareMethod;
-    if ((getShareMethod = PeerGrpc.getShareMethod) == null) {
+  public static io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest,
+      wigeonreel.wire.TokenGrants> getTakeTokensMethod() {
+    io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenGrants> getTakeTokensMethod;
+    if ((getTakeTokensMethod = PeerGrpc.getTakeTokensMethod) == null) {
       synchronized (PeerGrpc.class) {
-        if ((getShareMethod = PeerGrpc.getShareMethod) == null) {
-          PeerGrpc.getShareMethod = getShareMethod =
-              io.grpc.MethodDescriptor.<wigeonreel.wire.DemandReport, wigeonreel.wire.RateGrants>newBuilder()
+        if ((getTakeTokensMethod = PeerGrpc.getTakeTokensMethod) == null) {
+          PeerGrpc.getTakeTokensMethod = getTakeTokensMethod =
+              io.grpc.MethodDescriptor.<wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenGrants>newBuilder()
               .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Share"))
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "TakeTokens"))
               .setSampledToLocalTracing(true)
               .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  wigeonreel.wire.DemandReport.getDefaultInstance()))
+                  wigeonreel.wire.TokenRequest.getDefaultInstance()))
               .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  wigeonreel.wire.RateGrants.getDefaultInstance()))
-              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("Share"))
+                  wigeonreel.wire.TokenGrants.getDefaultInstance()))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("TakeTokens"))
               .build();
         }
       }
     }
-    return getShareMethod;
+    return getTakeTokensMethod;
   }
 
   /**
@@ -308,12 +308,12 @@
 
     /**
      * <pre>
-     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
      * </pre>
      */
-    default void share(wigeonreel.wire.DemandReport request,
-        io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getShareMethod(), responseObserver);
+    default void takeTokens(wigeonreel.wire.TokenRequest request,
+        io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getTakeTokensMethod(), responseObserver);
     }
   }
 
@@ -408,13 +408,13 @@
 
     /**
      * <pre>
-     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
      * </pre>
      */
-    public void share(wigeonreel.wire.DemandReport request,
-        io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants> responseObserver) {
+    public void takeTokens(wigeonreel.wire.TokenRequest request,
+        io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants> responseObserver) {
       io.grpc.stub.ClientCalls.asyncUnaryCall(
-          getChannel().newCall(getShareMethod(), getCallOptions()), request, responseObserver);
+          getChannel().newCall(getTakeTokensMethod(), getCallOptions()), request, responseObserver);
     }
   }
 
@@ -479,12 +479,12 @@
 
     /**
      * <pre>
-     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
      * </pre>
      */
-    public wigeonreel.wire.RateGrants share(wigeonreel.wire.DemandReport request) {
+    public wigeonreel.wire.TokenGrants takeTokens(wigeonreel.wire.TokenRequest request) {
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
-          getChannel(), getShareMethod(), getCallOptions(), request);
+          getChannel(), getTakeTokensMethod(), getCallOptions(), request);
     }
   }
 
@@ -553,13 +553,13 @@
 
     /**
      * <pre>
-     * Reports demand of client accounts to their steward and returns the rates granted for a short time.
+     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
      * </pre>
      */
-    public com.google.common.util.concurrent.ListenableFuture<wigeonreel.wire.RateGrants> share(
-        wigeonreel.wire.DemandReport request) {
+    public com.google.common.util.concurrent.ListenableFuture<wigeonreel.wire.TokenGrants> takeTokens(
+        wigeonreel.wire.TokenRequest request) {
       return io.grpc.stub.ClientCalls.futureUnaryCall(
-          getChannel().newCall(getShareMethod(), getCallOptions()), request);
+          getChannel().newCall(getTakeTokensMethod(), getCallOptions()), request);
     }
   }
 
@@ -567,7 +567,7 @@
   private static final int METHODID_BORROW = 1;
   private static final int METHODID_FETCH_CONFIG = 2;
   private static final int METHODID_OFFER_CONFIG = 3;
-  private static final int METHODID_SHARE = 4;
+  private static final int METHODID_TAKE_TOKENS = 4;
   private static final int METHODID_EXCHANGE = 5;
 
   private static final class MethodHandlers<Req, Resp> implements
@@ -603,9 +603,9 @@
           serviceImpl.offerConfig((wigeonreel.wire.ConfigDelta) request,
               (io.grpc.stub.StreamObserver<wigeonreel.wire.ConfigReceipt>) responseObserver);
           break;
-        case METHODID_SHARE:
-          serviceImpl.share((wigeonreel.wire.DemandReport) request,
-              (io.grpc.stub.StreamObserver<wigeonreel.wire.RateGrants>) responseObserver);
+        case METHODID_TAKE_TOKENS:
+          serviceImpl.takeTokens((wigeonreel.wire.TokenRequest) request,
+              (io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants>) responseObserver);
           break;
         default:
           throw new AssertionError();
@@ -664,12 +664,12 @@
               wigeonreel.wire.ConfigReceipt>(
                 service, METHODID_OFFER_CONFIG)))
         .addMethod(
-          getShareMethod(),
+          getTakeTokensMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
             new MethodHandlers<
-              wigeonreel.wire.DemandReport,
-              wigeonreel.wire.RateGrants>(
-                service, METHODID_SHARE)))
+              wigeonreel.wire.TokenRequest,
+              wigeonreel.wire.TokenGrants>(
+                service, METHODID_TAKE_TOKENS)))
         .build();
   }
 
@@ -723,7 +723,7 @@
               .addMethod(getBorrowMethod())
               .addMethod(getFetchConfigMethod())
               .addMethod(getOfferConfigMethod())
-              .addMethod(getShareMethod())
+              .addMethod(getTakeTokensMethod())
               .build();
         }
       }
--- a/wire/src/main/java/wigeonreel/wire/AccountDemand.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenGrant.java
@@ -5,18 +5,18 @@
 package wigeonreel.wire;
 
 /**
- * Protobuf type {@code wigeonreel.wire.AccountDemand}
+ * Protobuf type {@code wigeonreel.wire.TokenGrant}
  */
-public final class AccountDemand extends
+public final class TokenGrant extends
     com.google.protobuf.GeneratedMessageV3 implements
-    // @@protoc_insertion_point(message_implements:wigeonreel.wire.AccountDemand)
-    AccountDemandOrBuilder {
+    // @@protoc_insertion_point(message_implements:wigeonreel.wire.TokenGrant)
+    TokenGrantOrBuilder {
 private static final long serialVersionUID = 0L;
-  // Use AccountDemand.newBuilder() to construct.
-  private AccountDemand(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
+  // Use TokenGrant.newBuilder() to construct.
+  private TokenGrant(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
     super(builder);
   }
-  private AccountDemand() {
+  private TokenGrant() {
     account_ = "";
   }
 
@@ -24,20 +24,20 @@
   @SuppressWarnings({"unused"})
   protected java.lang.Object newInstance(
       UnusedPrivateParameter unused) {
-    return new AccountDemand();
+    return new TokenGrant();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_AccountDemand_descriptor;
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrant_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_AccountDemand_fieldAccessorTable
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrant_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            wigeonreel.wire.AccountDemand.class, wigeonreel.wire.AccountDemand.Builder.class);
+            wigeonreel.wire.TokenGrant.class, wigeonreel.wire.TokenGrant.Builder.class);
   }
 
   public static final int ACCOUNT_FIELD_NUMBER = 1;
@@ -79,34 +79,30 @@
     }
   }
 
-  public static final int PER_SECOND_FIELD_NUMBER = 2;
-  private double perSecond_ = 0D;
+  public static final int TOKENS_FIELD_NUMBER = 2;
+  private int tokens_ = 0;
   /**
-   * <pre>
-   * Requests a second over the last reports.
-   * </pre>
-   *
-   * <code>double per_second = 2;</code>
-   * @return The perSecond.
+   * <code>uint32 tokens = 2;</code>
+   * @return The tokens.
    */
   @java.lang.Override
-  public double getPerSecond() {
-    return perSecond_;
+  public int getTokens() {
+    return tokens_;
   }
 
-  public static final int HELD_PER_SECOND_FIELD_NUMBER = 3;
-  private double heldPerSecond_ = 0D;
+  public static final int WAIT_MS_FIELD_NUMBER = 3;
+  private int waitMs_ = 0;
   /**
    * <pre>
-   * Granted rate that the daemon still holds.
+   * Time until a token may be there, when none was given, in milliseconds.
    * </pre>
    *
-   * <code>double held_per_second = 3;</code>
-   * @return The heldPerSecond.
+   * <code>uint32 wait_ms = 3;</code>
+   * @return The waitMs.
    */
   @java.lang.Override
-  public double getHeldPerSecond() {
-    return heldPerSecond_;
+  public int getWaitMs() {
+    return waitMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -126,11 +122,11 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 1, account_);
     }
-    if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
-      output.writeDouble(2, perSecond_);
+    if (tokens_ != 0) {
+      output.writeUInt32(2, tokens_);
     }
-    if (java.lang.Double.doubleToRawLongBits(heldPerSecond_) != 0) {
-      output.writeDouble(3, heldPerSecond_);
+    if (waitMs_ != 0) {
+      output.writeUInt32(3, waitMs_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -144,13 +140,13 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, account_);
     }
-    if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+    if (tokens_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, perSecond_);
+        .computeUInt32Size(2, tokens_);
     }
-    if (java.lang.Double.doubleToRawLongBits(heldPerSecond_) != 0) {
+    if (waitMs_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(3, heldPerSecond_);
+        .computeUInt32Size(3, waitMs_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -162,19 +158,17 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof wigeonreel.wire.AccountDemand)) {
+    if (!(obj instanceof wigeonreel.wire.TokenGrant)) {
       return super.equals(obj);
     }
-    wigeonreel.wire.AccountDemand other = (wigeonreel.wire.AccountDemand) obj;
+    wigeonreel.wire.TokenGrant other = (wigeonreel.wire.TokenGrant) obj;
 
     if (!getAccount()
         .equals(other.getAccount())) return false;
-    if (java.lang.Double.doubleToLongBits(getPerSecond())
-        != java.lang.Double.doubleToLongBits(
-            other.getPerSecond())) return false;
-    if (java.lang.Double.doubleToLongBits(getHeldPerSecond())
-        != java.lang.Double.doubleToLongBits(
-            other.getHeldPerSecond())) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
+    if (getWaitMs()
+        != other.getWaitMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -188,55 +182,53 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
-    hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getPerSecond()));
-    hash = (37 * hash) + HELD_PER_SECOND_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getHeldPerSecond()));
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getTokens();
+    hash = (37 * hash) + WAIT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getWaitMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(byte[] data)
+  public static wigeonreel.wire.TokenGrant parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenGrant parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -244,26 +236,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static wigeonreel.wire.AccountDemand parseDelimitedFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenGrant parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static wigeonreel.wire.AccountDemand parseDelimitedFrom(
+  public static wigeonreel.wire.TokenGrant parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.AccountDemand parseFrom(
+  public static wigeonreel.wire.TokenGrant parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -276,7 +268,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(wigeonreel.wire.AccountDemand prototype) {
+  public static Builder newBuilder(wigeonreel.wire.TokenGrant prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -292,26 +284,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code wigeonreel.wire.AccountDemand}
+   * Protobuf type {@code wigeonreel.wire.TokenGrant}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageV3.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.AccountDemand)
-      wigeonreel.wire.AccountDemandOrBuilder {
+      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.TokenGrant)
+      wigeonreel.wire.TokenGrantOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_AccountDemand_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrant_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_AccountDemand_fieldAccessorTable
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrant_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              wigeonreel.wire.AccountDemand.class, wigeonreel.wire.AccountDemand.Builder.class);
+              wigeonreel.wire.TokenGrant.class, wigeonreel.wire.TokenGrant.Builder.class);
     }
 
-    // Construct using wigeonreel.wire.AccountDemand.newBuilder()
+    // Construct using wigeonreel.wire.TokenGrant.newBuilder()
     private Builder() {
 
     }
@@ -326,25 +318,25 @@
       super.clear();
       bitField0_ = 0;
       account_ = "";
-      perSecond_ = 0D;
-      heldPerSecond_ = 0D;
+      tokens_ = 0;
+      waitMs_ = 0;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_AccountDemand_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrant_descriptor;
     }
 
     @java.lang.Override
-    public wigeonreel.wire.AccountDemand getDefaultInstanceForType() {
-      return wigeonreel.wire.AccountDemand.getDefaultInstance();
+    public wigeonreel.wire.TokenGrant getDefaultInstanceForType() {
+      return wigeonreel.wire.TokenGrant.getDefaultInstance();
     }
 
     @java.lang.Override
-    public wigeonreel.wire.AccountDemand build() {
-      wigeonreel.wire.AccountDemand result = buildPartial();
+    public wigeonreel.wire.TokenGrant build() {
+      wigeonreel.wire.TokenGrant result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -352,23 +344,23 @@
     }
 
     @java.lang.Override
-    public wigeonreel.wire.AccountDemand buildPartial() {
-      wigeonreel.wire.AccountDemand result = new wigeonreel.wire.AccountDemand(this);
+    public wigeonreel.wire.TokenGrant buildPartial() {
+      wigeonreel.wire.TokenGrant result = new wigeonreel.wire.TokenGrant(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(wigeonreel.wire.AccountDemand result) {
+    private void buildPartial0(wigeonreel.wire.TokenGrant result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.account_ = account_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.perSecond_ = perSecond_;
+        result.tokens_ = tokens_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.heldPerSecond_ = heldPerSecond_;
+        result.waitMs_ = waitMs_;
       }
     }
 
@@ -406,26 +398,26 @@
     }
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof wigeonreel.wire.AccountDemand) {
-        return mergeFrom((wigeonreel.wire.AccountDemand)other);
+      if (other instanceof wigeonreel.wire.TokenGrant) {
+        return mergeFrom((wigeonreel.wire.TokenGrant)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(wigeonreel.wire.AccountDemand other) {
-      if (other == wigeonreel.wire.AccountDemand.getDefaultInstance()) return this;
+    public Builder mergeFrom(wigeonreel.wire.TokenGrant other) {
+      if (other == wigeonreel.wire.TokenGrant.getDefaultInstance()) return this;
       if (!other.getAccount().isEmpty()) {
         account_ = other.account_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getPerSecond() != 0D) {
-        setPerSecond(other.getPerSecond());
+      if (other.getTokens() != 0) {
+        setTokens(other.getTokens());
       }
-      if (other.getHeldPerSecond() != 0D) {
-        setHeldPerSecond(other.getHeldPerSecond());
+      if (other.getWaitMs() != 0) {
+        setWaitMs(other.getWaitMs());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -458,16 +450,16 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 17: {
-              perSecond_ = input.readDouble();
+            case 16: {
+              tokens_ = input.readUInt32();
               bitField0_ |= 0x00000002;
               break;
-            } // case 17
-            case 25: {
-              heldPerSecond_ = input.readDouble();
+            } // case 16
+            case 24: {
+              waitMs_ = input.readUInt32();
               bitField0_ |= 0x00000004;
               break;
-            } // case 25
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -557,90 +549,78 @@
       return this;
     }
 
-    private double perSecond_ ;
+    private int tokens_ ;
     /**
-     * <pre>
-     * Requests a second over the last reports.
-     * </pre>
-     *
-     * <code>double per_second = 2;</code>
-     * @return The perSecond.
+     * <code>uint32 tokens = 2;</code>
+     * @return The tokens.
      */
     @java.lang.Override
-    public double getPerSecond() {
-      return perSecond_;
+    public int getTokens() {
+      return tokens_;
     }
     /**
-     * <pre>
-     * Requests a second over the last reports.
-     * </pre>
-     *
-     * <code>double per_second = 2;</code>
-     * @param value The perSecond to set.
+     * <code>uint32 tokens = 2;</code>
+     * @param value The tokens to set.
      * @return This builder for chaining.
      */
-    public Builder setPerSecond(double value) {
+    public Builder setTokens(int value) {
 
-      perSecond_ = value;
+      tokens_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <pre>
-     * Requests a second over the last reports.
-     * </pre>
-     *
-     * <code>double per_second = 2;</code>
+     * <code>uint32 tokens = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPerSecond() {
+    public Builder clearTokens() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      perSecond_ = 0D;
+      tokens_ = 0;
       onChanged();
       return this;
     }
 
-    private double heldPerSecond_ ;
+    private int waitMs_ ;
     /**
      * <pre>
-     * Granted rate that the daemon still holds.
+     * Time until a token may be there, when none was given, in milliseconds.
      * </pre>
      *
-     * <code>double held_per_second = 3;</code>
-     * @return The heldPerSecond.
+     * <code>uint32 wait_ms = 3;</code>
+     * @return The waitMs.
      */
     @java.lang.Override
-    public double getHeldPerSecond() {
-      return heldPerSecond_;
+    public int getWaitMs() {
+      return waitMs_;
     }
     /**
      * <pre>
-     * Granted rate that the daemon still holds.
+     * Time until a token may be there, when none was given, in milliseconds.
      * </pre>
      *
-     * <code>double held_per_second = 3;</code>
-     * @param value The heldPerSecond to set.
+     * <code>uint32 wait_ms = 3;</code>
+     * @param value The waitMs to set.
      * @return This builder for chaining.
      */
-    public Builder setHeldPerSecond(double value) {
+    public Builder setWaitMs(int value) {
 
-      heldPerSecond_ = value;
+      waitMs_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Granted rate that the daemon still holds.
+     * Time until a token may be there, when none was given, in milliseconds.
      * </pre>
      *
-     * <code>double held_per_second = 3;</code>
+     * <code>uint32 wait_ms = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearHeldPerSecond() {
+    public Builder clearWaitMs() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      heldPerSecond_ = 0D;
+      waitMs_ = 0;
       onChanged();
       return this;
     }
@@ -657,23 +637,23 @@
     }
 
 
-    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.AccountDemand)
+    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.TokenGrant)
   }
 
-  // @@protoc_insertion_point(class_scope:wigeonreel.wire.AccountDemand)
-  private static final wigeonreel.wire.AccountDemand DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:wigeonreel.wire.TokenGrant)
+  private static final wigeonreel.wire.TokenGrant DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new wigeonreel.wire.AccountDemand();
+    DEFAULT_INSTANCE = new wigeonreel.wire.TokenGrant();
   }
 
-  public static wigeonreel.wire.AccountDemand getDefaultInstance() {
+  public static wigeonreel.wire.TokenGrant getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AccountDemand>
-      PARSER = new com.google.protobuf.AbstractParser<AccountDemand>() {
+  private static final com.google.protobuf.Parser<TokenGrant>
+      PARSER = new com.google.protobuf.AbstractParser<TokenGrant>() {
     @java.lang.Override
-    public AccountDemand parsePartialFrom(
+    public TokenGrant parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -692,17 +672,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<AccountDemand> parser() {
+  public static com.google.protobuf.Parser<TokenGrant> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<AccountDemand> getParserForType() {
+  public com.google.protobuf.Parser<TokenGrant> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public wigeonreel.wire.AccountDemand getDefaultInstanceForType() {
+  public wigeonreel.wire.TokenGrant getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/wigeonreel/wire/AccountDemandOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenGrantOrBuilder.java
@@ -4,8 +4,8 @@
 // Protobuf Java Version: 3.25.5
 package wigeonreel.wire;
 
-public interface AccountDemandOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:wigeonreel.wire.AccountDemand)
+public interface TokenGrantOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:wigeonreel.wire.TokenGrant)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -21,22 +21,18 @@
       getAccountBytes();
 
   /**
-   * <pre>
-   * Requests a second over the last reports.
-   * </pre>
-   *
-   * <code>double per_second = 2;</code>
-   * @return The perSecond.
+   * <code>uint32 tokens = 2;</code>
+   * @return The tokens.
    */
-  double getPerSecond();
+  int getTokens();
 
   /**
    * <pre>
-   * Granted rate that the daemon still holds.
+   * Time until a token may be there, when none was given, in milliseconds.
    * </pre>
    *
-   * <code>double held_per_second = 3;</code>
-   * @return The heldPerSecond.
+   * <code>uint32 wait_ms = 3;</code>
+   * @return The waitMs.
    */
-  double getHeldPerSecond();
+  int getWaitMs();
 }
--- a/wire/src/main/java/wigeonreel/wire/RateGrants.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenGrants.java
@@ -5,18 +5,18 @@
 package wigeonreel.wire;
 
 /**
- * Protobuf type {@code wigeonreel.wire.RateGrants}
+ * Protobuf type {@code wigeonreel.wire.TokenGrants}
  */
-public final class RateGrants extends
+public final class TokenGrants extends
     com.google.protobuf.GeneratedMessageV3 implements
-    // @@protoc_insertion_point(message_implements:wigeonreel.wire.RateGrants)
-    RateGrantsOrBuilder {
+    // @@protoc_insertion_point(message_implements:wigeonreel.wire.TokenGrants)
+    TokenGrantsOrBuilder {
 private static final long serialVersionUID = 0L;
-  // Use RateGrants.newBuilder() to construct.
-  private RateGrants(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
+  // Use TokenGrants.newBuilder() to construct.
+  private TokenGrants(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
     super(builder);
   }
-  private RateGrants() {
+  private TokenGrants() {
     grants_ = java.util.Collections.emptyList();
   }
 
@@ -24,59 +24,59 @@
   @SuppressWarnings({"unused"})
   protected java.lang.Object newInstance(
       UnusedPrivateParameter unused) {
-    return new RateGrants();
+    return new TokenGrants();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrants_descriptor;
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrants_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrants_fieldAccessorTable
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrants_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            wigeonreel.wire.RateGrants.class, wigeonreel.wire.RateGrants.Builder.class);
+            wigeonreel.wire.TokenGrants.class, wigeonreel.wire.TokenGrants.Builder.class);
   }
 
   public static final int GRANTS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private java.util.List<wigeonreel.wire.RateGrant> grants_;
+  private java.util.List<wigeonreel.wire.TokenGrant> grants_;
   /**
-   * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+   * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<wigeonreel.wire.RateGrant> getGrantsList() {
+  public java.util.List<wigeonreel.wire.TokenGrant> getGrantsList() {
     return grants_;
   }
   /**
-   * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+   * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends wigeonreel.wire.RateGrantOrBuilder> 
+  public java.util.List<? extends wigeonreel.wire.TokenGrantOrBuilder> 
       getGrantsOrBuilderList() {
     return grants_;
   }
   /**
-   * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+   * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
    */
   @java.lang.Override
   public int getGrantsCount() {
     return grants_.size();
   }
   /**
-   * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+   * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
    */
   @java.lang.Override
-  public wigeonreel.wire.RateGrant getGrants(int index) {
+  public wigeonreel.wire.TokenGrant getGrants(int index) {
     return grants_.get(index);
   }
   /**
-   * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+   * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
    */
   @java.lang.Override
-  public wigeonreel.wire.RateGrantOrBuilder getGrantsOrBuilder(
+  public wigeonreel.wire.TokenGrantOrBuilder getGrantsOrBuilder(
       int index) {
     return grants_.get(index);
   }
@@ -121,10 +121,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof wigeonreel.wire.RateGrants)) {
+    if (!(obj instanceof wigeonreel.wire.TokenGrants)) {
       return super.equals(obj);
     }
-    wigeonreel.wire.RateGrants other = (wigeonreel.wire.RateGrants) obj;
+    wigeonreel.wire.TokenGrants other = (wigeonreel.wire.TokenGrants) obj;
 
     if (!getGrantsList()
         .equals(other.getGrantsList())) return false;
@@ -148,44 +148,44 @@
     return hash;
   }
 
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(byte[] data)
+  public static wigeonreel.wire.TokenGrants parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenGrants parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -193,26 +193,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static wigeonreel.wire.RateGrants parseDelimitedFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenGrants parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static wigeonreel.wire.RateGrants parseDelimitedFrom(
+  public static wigeonreel.wire.TokenGrants parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.RateGrants parseFrom(
+  public static wigeonreel.wire.TokenGrants parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -225,7 +225,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(wigeonreel.wire.RateGrants prototype) {
+  public static Builder newBuilder(wigeonreel.wire.TokenGrants prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -241,26 +241,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code wigeonreel.wire.RateGrants}
+   * Protobuf type {@code wigeonreel.wire.TokenGrants}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageV3.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.RateGrants)
-      wigeonreel.wire.RateGrantsOrBuilder {
+      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.TokenGrants)
+      wigeonreel.wire.TokenGrantsOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrants_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrants_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrants_fieldAccessorTable
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrants_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              wigeonreel.wire.RateGrants.class, wigeonreel.wire.RateGrants.Builder.class);
+              wigeonreel.wire.TokenGrants.class, wigeonreel.wire.TokenGrants.Builder.class);
     }
 
-    // Construct using wigeonreel.wire.RateGrants.newBuilder()
+    // Construct using wigeonreel.wire.TokenGrants.newBuilder()
     private Builder() {
 
     }
@@ -287,17 +287,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrants_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenGrants_descriptor;
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrants getDefaultInstanceForType() {
-      return wigeonreel.wire.RateGrants.getDefaultInstance();
+    public wigeonreel.wire.TokenGrants getDefaultInstanceForType() {
+      return wigeonreel.wire.TokenGrants.getDefaultInstance();
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrants build() {
-      wigeonreel.wire.RateGrants result = buildPartial();
+    public wigeonreel.wire.TokenGrants build() {
+      wigeonreel.wire.TokenGrants result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -305,15 +305,15 @@
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrants buildPartial() {
-      wigeonreel.wire.RateGrants result = new wigeonreel.wire.RateGrants(this);
+    public wigeonreel.wire.TokenGrants buildPartial() {
+      wigeonreel.wire.TokenGrants result = new wigeonreel.wire.TokenGrants(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(wigeonreel.wire.RateGrants result) {
+    private void buildPartialRepeatedFields(wigeonreel.wire.TokenGrants result) {
       if (grantsBuilder_ == null) {
         if (((bitField0_ & 0x00000001) != 0)) {
           grants_ = java.util.Collections.unmodifiableList(grants_);
@@ -325,7 +325,7 @@
       }
     }
 
-    private void buildPartial0(wigeonreel.wire.RateGrants result) {
+    private void buildPartial0(wigeonreel.wire.TokenGrants result) {
       int from_bitField0_ = bitField0_;
     }
 
@@ -363,16 +363,16 @@
     }
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof wigeonreel.wire.RateGrants) {
-        return mergeFrom((wigeonreel.wire.RateGrants)other);
+      if (other instanceof wigeonreel.wire.TokenGrants) {
+        return mergeFrom((wigeonreel.wire.TokenGrants)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(wigeonreel.wire.RateGrants other) {
-      if (other == wigeonreel.wire.RateGrants.getDefaultInstance()) return this;
+    public Builder mergeFrom(wigeonreel.wire.TokenGrants other) {
+      if (other == wigeonreel.wire.TokenGrants.getDefaultInstance()) return this;
       if (grantsBuilder_ == null) {
         if (!other.grants_.isEmpty()) {
           if (grants_.isEmpty()) {
@@ -426,9 +426,9 @@
               done = true;
               break;
             case 10: {
-              wigeonreel.wire.RateGrant m =
+              wigeonreel.wire.TokenGrant m =
                   input.readMessage(
-                      wigeonreel.wire.RateGrant.parser(),
+                      wigeonreel.wire.TokenGrant.parser(),
                       extensionRegistry);
               if (grantsBuilder_ == null) {
                 ensureGrantsIsMutable();
@@ -455,22 +455,22 @@
     }
     private int bitField0_;
 
-    private java.util.List<wigeonreel.wire.RateGrant> grants_ =
+    private java.util.List<wigeonreel.wire.TokenGrant> grants_ =
       java.util.Collections.emptyList();
     private void ensureGrantsIsMutable() {
       if (!((bitField0_ & 0x00000001) != 0)) {
-        grants_ = new java.util.ArrayList<wigeonreel.wire.RateGrant>(grants_);
+        grants_ = new java.util.ArrayList<wigeonreel.wire.TokenGrant>(grants_);
         bitField0_ |= 0x00000001;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        wigeonreel.wire.RateGrant, wigeonreel.wire.RateGrant.Builder, wigeonreel.wire.RateGrantOrBuilder> grantsBuilder_;
+        wigeonreel.wire.TokenGrant, wigeonreel.wire.TokenGrant.Builder, wigeonreel.wire.TokenGrantOrBuilder> grantsBuilder_;
 
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public java.util.List<wigeonreel.wire.RateGrant> getGrantsList() {
+    public java.util.List<wigeonreel.wire.TokenGrant> getGrantsList() {
       if (grantsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(grants_);
       } else {
@@ -478,7 +478,7 @@
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public int getGrantsCount() {
       if (grantsBuilder_ == null) {
@@ -488,9 +488,9 @@
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public wigeonreel.wire.RateGrant getGrants(int index) {
+    public wigeonreel.wire.TokenGrant getGrants(int index) {
       if (grantsBuilder_ == null) {
         return grants_.get(index);
       } else {
@@ -498,10 +498,10 @@
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder setGrants(
-        int index, wigeonreel.wire.RateGrant value) {
+        int index, wigeonreel.wire.TokenGrant value) {
       if (grantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -515,10 +515,10 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder setGrants(
-        int index, wigeonreel.wire.RateGrant.Builder builderForValue) {
+        int index, wigeonreel.wire.TokenGrant.Builder builderForValue) {
       if (grantsBuilder_ == null) {
         ensureGrantsIsMutable();
         grants_.set(index, builderForValue.build());
@@ -529,9 +529,9 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public Builder addGrants(wigeonreel.wire.RateGrant value) {
+    public Builder addGrants(wigeonreel.wire.TokenGrant value) {
       if (grantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -545,10 +545,10 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder addGrants(
-        int index, wigeonreel.wire.RateGrant value) {
+        int index, wigeonreel.wire.TokenGrant value) {
       if (grantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -562,10 +562,10 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder addGrants(
-        wigeonreel.wire.RateGrant.Builder builderForValue) {
+        wigeonreel.wire.TokenGrant.Builder builderForValue) {
       if (grantsBuilder_ == null) {
         ensureGrantsIsMutable();
         grants_.add(builderForValue.build());
@@ -576,10 +576,10 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder addGrants(
-        int index, wigeonreel.wire.RateGrant.Builder builderForValue) {
+        int index, wigeonreel.wire.TokenGrant.Builder builderForValue) {
       if (grantsBuilder_ == null) {
         ensureGrantsIsMutable();
         grants_.add(index, builderForValue.build());
@@ -590,10 +590,10 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder addAllGrants(
-        java.lang.Iterable<? extends wigeonreel.wire.RateGrant> values) {
+        java.lang.Iterable<? extends wigeonreel.wire.TokenGrant> values) {
       if (grantsBuilder_ == null) {
         ensureGrantsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -605,7 +605,7 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder clearGrants() {
       if (grantsBuilder_ == null) {
@@ -618,7 +618,7 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
     public Builder removeGrants(int index) {
       if (grantsBuilder_ == null) {
@@ -631,16 +631,16 @@
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public wigeonreel.wire.RateGrant.Builder getGrantsBuilder(
+    public wigeonreel.wire.TokenGrant.Builder getGrantsBuilder(
         int index) {
       return getGrantsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public wigeonreel.wire.RateGrantOrBuilder getGrantsOrBuilder(
+    public wigeonreel.wire.TokenGrantOrBuilder getGrantsOrBuilder(
         int index) {
       if (grantsBuilder_ == null) {
         return grants_.get(index);  } else {
@@ -648,9 +648,9 @@
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public java.util.List<? extends wigeonreel.wire.RateGrantOrBuilder> 
+    public java.util.List<? extends wigeonreel.wire.TokenGrantOrBuilder> 
          getGrantsOrBuilderList() {
       if (grantsBuilder_ != null) {
         return grantsBuilder_.getMessageOrBuilderList();
@@ -659,33 +659,33 @@
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public wigeonreel.wire.RateGrant.Builder addGrantsBuilder() {
+    public wigeonreel.wire.TokenGrant.Builder addGrantsBuilder() {
       return getGrantsFieldBuilder().addBuilder(
-          wigeonreel.wire.RateGrant.getDefaultInstance());
+          wigeonreel.wire.TokenGrant.getDefaultInstance());
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public wigeonreel.wire.RateGrant.Builder addGrantsBuilder(
+    public wigeonreel.wire.TokenGrant.Builder addGrantsBuilder(
         int index) {
       return getGrantsFieldBuilder().addBuilder(
-          index, wigeonreel.wire.RateGrant.getDefaultInstance());
+          index, wigeonreel.wire.TokenGrant.getDefaultInstance());
     }
     /**
-     * <code>repeated .wigeonreel.wire.RateGrant grants = 1;</code>
+     * <code>repeated .wigeonreel.wire.TokenGrant grants = 1;</code>
      */
-    public java.util.List<wigeonreel.wire.RateGrant.Builder> 
+    public java.util.List<wigeonreel.wire.TokenGrant.Builder> 
          getGrantsBuilderList() {
       return getGrantsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        wigeonreel.wire.RateGrant, wigeonreel.wire.RateGrant.Builder, wigeonreel.wire.RateGrantOrBuilder> 
+        wigeonreel.wire.TokenGrant, wigeonreel.wire.TokenGrant.Builder, wigeonreel.wire.TokenGrantOrBuilder> 
         getGrantsFieldBuilder() {
       if (grantsBuilder_ == null) {
         grantsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
-            wigeonreel.wire.RateGrant, wigeonreel.wire.RateGrant.Builder, wigeonreel.wire.RateGrantOrBuilder>(
+            wigeonreel.wire.TokenGrant, wigeonreel.wire.TokenGrant.Builder, wigeonreel.wire.TokenGrantOrBuilder>(
                 grants_,
                 ((bitField0_ & 0x00000001) != 0),
                 getParentForChildren(),
@@ -707,23 +707,23 @@
     }
 
 
-    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.RateGrants)
+    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.TokenGrants)
   }
 
-  // @@protoc_insertion_point(class_scope:wigeonreel.wire.RateGrants)
-  private static final wigeonreel.wire.RateGrants DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:wigeonreel.wire.TokenGrants)
+  private static final wigeonreel.wire.TokenGrants DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new wigeonreel.wire.RateGrants();
+    DEFAULT_INSTANCE = new wigeonreel.wire.TokenGrants();
   }
 
-  public static wigeonreel.wire.RateGrants getDefaultInstance() {
+  public static wigeonreel.wire.TokenGrants getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RateGrants>
-      PARSER = new com.google.protobuf.AbstractParser<RateGrants>() {
+  private static final com.google.protobuf.Parser<TokenGrants>
+      PARSER = new com.google.protobuf.AbstractParser<TokenGrants>() {
     @java.lang.Override
-    public RateGrants parsePartialFrom(
+    public TokenGrants parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -742,17 +742,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<RateGrants> parser() {
+  public static com.google.protobuf.Parser<TokenGrants> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<RateGrants> getParserForType() {
+  public com.google.protobuf.Parser<TokenGrants> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public wigeonreel.wire.RateGrants getDefaultInstanceForType() {
+  public wigeonreel.wire.TokenGrants getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/wigeonreel/wire/DemandReport.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenRequest.java
@@ -5,40 +5,40 @@
 package wigeonreel.wire;
 
 /**
- * Protobuf type {@code wigeonreel.wire.DemandReport}
+ * Protobuf type {@code wigeonreel.wire.TokenRequest}
  */
-public final class DemandReport extends
+public final class TokenRequest extends
     com.google.protobuf.GeneratedMessageV3 implements
-    // @@protoc_insertion_point(message_implements:wigeonreel.wire.DemandReport)
-    DemandReportOrBuilder {
+    // @@protoc_insertion_point(message_implements:wigeonreel.wire.TokenRequest)
+    TokenRequestOrBuilder {
 private static final long serialVersionUID = 0L;
-  // Use DemandReport.newBuilder() to construct.
-  private DemandReport(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
+  // Use TokenRequest.newBuilder() to construct.
+  private TokenRequest(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
     super(builder);
   }
-  private DemandReport() {
+  private TokenRequest() {
     daemon_ = "";
-    demands_ = java.util.Collections.emptyList();
+    wants_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
   @SuppressWarnings({"unused"})
   protected java.lang.Object newInstance(
       UnusedPrivateParameter unused) {
-    return new DemandReport();
+    return new TokenRequest();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_DemandReport_descriptor;
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenRequest_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_DemandReport_fieldAccessorTable
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenRequest_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            wigeonreel.wire.DemandReport.class, wigeonreel.wire.DemandReport.Builder.class);
+            wigeonreel.wire.TokenRequest.class, wigeonreel.wire.TokenRequest.Builder.class);
   }
 
   public static final int DAEMON_FIELD_NUMBER = 1;
@@ -80,45 +80,45 @@
     }
   }
 
-  public static final int DEMANDS_FIELD_NUMBER = 2;
+  public static final int WANTS_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
-  private java.util.List<wigeonreel.wire.AccountDemand> demands_;
+  private java.util.List<wigeonreel.wire.TokenWant> wants_;
   /**
-   * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+   * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
    */
   @java.lang.Override
-  public java.util.List<wigeonreel.wire.AccountDemand> getDemandsList() {
-    return demands_;
+  public java.util.List<wigeonreel.wire.TokenWant> getWantsList() {
+    return wants_;
   }
   /**
-   * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+   * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends wigeonreel.wire.AccountDemandOrBuilder> 
-      getDemandsOrBuilderList() {
-    return demands_;
+  public java.util.List<? extends wigeonreel.wire.TokenWantOrBuilder> 
+      getWantsOrBuilderList() {
+    return wants_;
   }
   /**
-   * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+   * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
    */
   @java.lang.Override
-  public int getDemandsCount() {
-    return demands_.size();
+  public int getWantsCount() {
+    return wants_.size();
   }
   /**
-   * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+   * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
    */
   @java.lang.Override
-  public wigeonreel.wire.AccountDemand getDemands(int index) {
-    return demands_.get(index);
+  public wigeonreel.wire.TokenWant getWants(int index) {
+    return wants_.get(index);
   }
   /**
-   * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+   * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
    */
   @java.lang.Override
-  public wigeonreel.wire.AccountDemandOrBuilder getDemandsOrBuilder(
+  public wigeonreel.wire.TokenWantOrBuilder getWantsOrBuilder(
       int index) {
-    return demands_.get(index);
+    return wants_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -138,8 +138,8 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(daemon_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 1, daemon_);
     }
-    for (int i = 0; i < demands_.size(); i++) {
-      output.writeMessage(2, demands_.get(i));
+    for (int i = 0; i < wants_.size(); i++) {
+      output.writeMessage(2, wants_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -153,9 +153,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(daemon_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, daemon_);
     }
-    for (int i = 0; i < demands_.size(); i++) {
+    for (int i = 0; i < wants_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(2, demands_.get(i));
+        .computeMessageSize(2, wants_.get(i));
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -167,15 +167,15 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof wigeonreel.wire.DemandReport)) {
+    if (!(obj instanceof wigeonreel.wire.TokenRequest)) {
       return super.equals(obj);
     }
-    wigeonreel.wire.DemandReport other = (wigeonreel.wire.DemandReport) obj;
+    wigeonreel.wire.TokenRequest other = (wigeonreel.wire.TokenRequest) obj;
 
     if (!getDaemon()
         .equals(other.getDaemon())) return false;
-    if (!getDemandsList()
-        .equals(other.getDemandsList())) return false;
+    if (!getWantsList()
+        .equals(other.getWantsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -189,53 +189,53 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + DAEMON_FIELD_NUMBER;
     hash = (53 * hash) + getDaemon().hashCode();
-    if (getDemandsCount() > 0) {
-      hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
-      hash = (53 * hash) + getDemandsList().hashCode();
+    if (getWantsCount() > 0) {
+      hash = (37 * hash) + WANTS_FIELD_NUMBER;
+      hash = (53 * hash) + getWantsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(byte[] data)
+  public static wigeonreel.wire.TokenRequest parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenRequest parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -243,26 +243,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static wigeonreel.wire.DemandReport parseDelimitedFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenRequest parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static wigeonreel.wire.DemandReport parseDelimitedFrom(
+  public static wigeonreel.wire.TokenRequest parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.DemandReport parseFrom(
+  public static wigeonreel.wire.TokenRequest parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -275,7 +275,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(wigeonreel.wire.DemandReport prototype) {
+  public static Builder newBuilder(wigeonreel.wire.TokenRequest prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -291,26 +291,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code wigeonreel.wire.DemandReport}
+   * Protobuf type {@code wigeonreel.wire.TokenRequest}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageV3.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.DemandReport)
-      wigeonreel.wire.DemandReportOrBuilder {
+      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.TokenRequest)
+      wigeonreel.wire.TokenRequestOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_DemandReport_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenRequest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_DemandReport_fieldAccessorTable
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenRequest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              wigeonreel.wire.DemandReport.class, wigeonreel.wire.DemandReport.Builder.class);
+              wigeonreel.wire.TokenRequest.class, wigeonreel.wire.TokenRequest.Builder.class);
     }
 
-    // Construct using wigeonreel.wire.DemandReport.newBuilder()
+    // Construct using wigeonreel.wire.TokenRequest.newBuilder()
     private Builder() {
 
     }
@@ -325,11 +325,11 @@
       super.clear();
       bitField0_ = 0;
       daemon_ = "";
-      if (demandsBuilder_ == null) {
-        demands_ = java.util.Collections.emptyList();
+      if (wantsBuilder_ == null) {
+        wants_ = java.util.Collections.emptyList();
       } else {
-        demands_ = null;
-        demandsBuilder_.clear();
+        wants_ = null;
+        wantsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       return this;
@@ -338,17 +338,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_DemandReport_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenRequest_descriptor;
     }
 
     @java.lang.Override
-    public wigeonreel.wire.DemandReport getDefaultInstanceForType() {
-      return wigeonreel.wire.DemandReport.getDefaultInstance();
+    public wigeonreel.wire.TokenRequest getDefaultInstanceForType() {
+      return wigeonreel.wire.TokenRequest.getDefaultInstance();
     }
 
     @java.lang.Override
-    public wigeonreel.wire.DemandReport build() {
-      wigeonreel.wire.DemandReport result = buildPartial();
+    public wigeonreel.wire.TokenRequest build() {
+      wigeonreel.wire.TokenRequest result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -356,27 +356,27 @@
     }
 
     @java.lang.Override
-    public wigeonreel.wire.DemandReport buildPartial() {
-      wigeonreel.wire.DemandReport result = new wigeonreel.wire.DemandReport(this);
+    public wigeonreel.wire.TokenRequest buildPartial() {
+      wigeonreel.wire.TokenRequest result = new wigeonreel.wire.TokenRequest(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(wigeonreel.wire.DemandReport result) {
-      if (demandsBuilder_ == null) {
+    private void buildPartialRepeatedFields(wigeonreel.wire.TokenRequest result) {
+      if (wantsBuilder_ == null) {
         if (((bitField0_ & 0x00000002) != 0)) {
-          demands_ = java.util.Collections.unmodifiableList(demands_);
+          wants_ = java.util.Collections.unmodifiableList(wants_);
           bitField0_ = (bitField0_ & ~0x00000002);
         }
-        result.demands_ = demands_;
+        result.wants_ = wants_;
       } else {
-        result.demands_ = demandsBuilder_.build();
+        result.wants_ = wantsBuilder_.build();
       }
     }
 
-    private void buildPartial0(wigeonreel.wire.DemandReport result) {
+    private void buildPartial0(wigeonreel.wire.TokenRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.daemon_ = daemon_;
@@ -417,44 +417,44 @@
     }
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof wigeonreel.wire.DemandReport) {
-        return mergeFrom((wigeonreel.wire.DemandReport)other);
+      if (other instanceof wigeonreel.wire.TokenRequest) {
+        return mergeFrom((wigeonreel.wire.TokenRequest)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(wigeonreel.wire.DemandReport other) {
-      if (other == wigeonreel.wire.DemandReport.getDefaultInstance()) return this;
+    public Builder mergeFrom(wigeonreel.wire.TokenRequest other) {
+      if (other == wigeonreel.wire.TokenRequest.getDefaultInstance()) return this;
       if (!other.getDaemon().isEmpty()) {
         daemon_ = other.daemon_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (demandsBuilder_ == null) {
-        if (!other.demands_.isEmpty()) {
-          if (demands_.isEmpty()) {
-            demands_ = other.demands_;
+      if (wantsBuilder_ == null) {
+        if (!other.wants_.isEmpty()) {
+          if (wants_.isEmpty()) {
+            wants_ = other.wants_;
             bitField0_ = (bitField0_ & ~0x00000002);
           } else {
-            ensureDemandsIsMutable();
-            demands_.addAll(other.demands_);
+            ensureWantsIsMutable();
+            wants_.addAll(other.wants_);
           }
           onChanged();
         }
       } else {
-        if (!other.demands_.isEmpty()) {
-          if (demandsBuilder_.isEmpty()) {
-            demandsBuilder_.dispose();
-            demandsBuilder_ = null;
-            demands_ = other.demands_;
+        if (!other.wants_.isEmpty()) {
+          if (wantsBuilder_.isEmpty()) {
+            wantsBuilder_.dispose();
+            wantsBuilder_ = null;
+            wants_ = other.wants_;
             bitField0_ = (bitField0_ & ~0x00000002);
-            demandsBuilder_ = 
+            wantsBuilder_ = 
               com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
-                 getDemandsFieldBuilder() : null;
+                 getWantsFieldBuilder() : null;
           } else {
-            demandsBuilder_.addAllMessages(other.demands_);
+            wantsBuilder_.addAllMessages(other.wants_);
           }
         }
       }
@@ -490,15 +490,15 @@
               break;
             } // case 10
             case 18: {
-              wigeonreel.wire.AccountDemand m =
+              wigeonreel.wire.TokenWant m =
                   input.readMessage(
-                      wigeonreel.wire.AccountDemand.parser(),
+                      wigeonreel.wire.TokenWant.parser(),
                       extensionRegistry);
-              if (demandsBuilder_ == null) {
-                ensureDemandsIsMutable();
-                demands_.add(m);
+              if (wantsBuilder_ == null) {
+                ensureWantsIsMutable();
+                wants_.add(m);
               } else {
-                demandsBuilder_.addMessage(m);
+                wantsBuilder_.addMessage(m);
               }
               break;
             } // case 18
@@ -591,244 +591,244 @@
       return this;
     }
 
-    private java.util.List<wigeonreel.wire.AccountDemand> demands_ =
+    private java.util.List<wigeonreel.wire.TokenWant> wants_ =
       java.util.Collections.emptyList();
-    private void ensureDemandsIsMutable() {
+    private void ensureWantsIsMutable() {
       if (!((bitField0_ & 0x00000002) != 0)) {
-        demands_ = new java.util.ArrayList<wigeonreel.wire.AccountDemand>(demands_);
+        wants_ = new java.util.ArrayList<wigeonreel.wire.TokenWant>(wants_);
         bitField0_ |= 0x00000002;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        wigeonreel.wire.AccountDemand, wigeonreel.wire.AccountDemand.Builder, wigeonreel.wire.AccountDemandOrBuilder> demandsBuilder_;
+        wigeonreel.wire.TokenWant, wigeonreel.wire.TokenWant.Builder, wigeonreel.wire.TokenWantOrBuilder> wantsBuilder_;
 
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public java.util.List<wigeonreel.wire.AccountDemand> getDemandsList() {
-      if (demandsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(demands_);
+    public java.util.List<wigeonreel.wire.TokenWant> getWantsList() {
+      if (wantsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(wants_);
       } else {
-        return demandsBuilder_.getMessageList();
+        return wantsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public int getDemandsCount() {
-      if (demandsBuilder_ == null) {
-        return demands_.size();
+    public int getWantsCount() {
+      if (wantsBuilder_ == null) {
+        return wants_.size();
       } else {
-        return demandsBuilder_.getCount();
+        return wantsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public wigeonreel.wire.AccountDemand getDemands(int index) {
-      if (demandsBuilder_ == null) {
-        return demands_.get(index);
+    public wigeonreel.wire.TokenWant getWants(int index) {
+      if (wantsBuilder_ == null) {
+        return wants_.get(index);
       } else {
-        return demandsBuilder_.getMessage(index);
+        return wantsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder setDemands(
-        int index, wigeonreel.wire.AccountDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder setWants(
+        int index, wigeonreel.wire.TokenWant value) {
+      if (wantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.set(index, value);
+        ensureWantsIsMutable();
+        wants_.set(index, value);
         onChanged();
       } else {
-        demandsBuilder_.setMessage(index, value);
+        wantsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder setDemands(
-        int index, wigeonreel.wire.AccountDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.set(index, builderForValue.build());
+    public Builder setWants(
+        int index, wigeonreel.wire.TokenWant.Builder builderForValue) {
+      if (wantsBuilder_ == null) {
+        ensureWantsIsMutable();
+        wants_.set(index, builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.setMessage(index, builderForValue.build());
+        wantsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder addDemands(wigeonreel.wire.AccountDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder addWants(wigeonreel.wire.TokenWant value) {
+      if (wantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.add(value);
+        ensureWantsIsMutable();
+        wants_.add(value);
         onChanged();
       } else {
-        demandsBuilder_.addMessage(value);
+        wantsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder addDemands(
-        int index, wigeonreel.wire.AccountDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder addWants(
+        int index, wigeonreel.wire.TokenWant value) {
+      if (wantsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.add(index, value);
+        ensureWantsIsMutable();
+        wants_.add(index, value);
         onChanged();
       } else {
-        demandsBuilder_.addMessage(index, value);
+        wantsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder addDemands(
-        wigeonreel.wire.AccountDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.add(builderForValue.build());
+    public Builder addWants(
+        wigeonreel.wire.TokenWant.Builder builderForValue) {
+      if (wantsBuilder_ == null) {
+        ensureWantsIsMutable();
+        wants_.add(builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.addMessage(builderForValue.build());
+        wantsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder addDemands(
-        int index, wigeonreel.wire.AccountDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.add(index, builderForValue.build());
+    public Builder addWants(
+        int index, wigeonreel.wire.TokenWant.Builder builderForValue) {
+      if (wantsBuilder_ == null) {
+        ensureWantsIsMutable();
+        wants_.add(index, builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.addMessage(index, builderForValue.build());
+        wantsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder addAllDemands(
-        java.lang.Iterable<? extends wigeonreel.wire.AccountDemand> values) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
+    public Builder addAllWants(
+        java.lang.Iterable<? extends wigeonreel.wire.TokenWant> values) {
+      if (wantsBuilder_ == null) {
+        ensureWantsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, demands_);
+            values, wants_);
         onChanged();
       } else {
-        demandsBuilder_.addAllMessages(values);
+        wantsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder clearDemands() {
-      if (demandsBuilder_ == null) {
-        demands_ = java.util.Collections.emptyList();
+    public Builder clearWants() {
+      if (wantsBuilder_ == null) {
+        wants_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
       } else {
-        demandsBuilder_.clear();
+        wantsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public Builder removeDemands(int index) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.remove(index);
+    public Builder removeWants(int index) {
+      if (wantsBuilder_ == null) {
+        ensureWantsIsMutable();
+        wants_.remove(index);
         onChanged();
       } else {
-        demandsBuilder_.remove(index);
+        wantsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public wigeonreel.wire.AccountDemand.Builder getDemandsBuilder(
+    public wigeonreel.wire.TokenWant.Builder getWantsBuilder(
         int index) {
-      return getDemandsFieldBuilder().getBuilder(index);
+      return getWantsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public wigeonreel.wire.AccountDemandOrBuilder getDemandsOrBuilder(
+    public wigeonreel.wire.TokenWantOrBuilder getWantsOrBuilder(
         int index) {
-      if (demandsBuilder_ == null) {
-        return demands_.get(index);  } else {
-        return demandsBuilder_.getMessageOrBuilder(index);
+      if (wantsBuilder_ == null) {
+        return wants_.get(index);  } else {
+        return wantsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public java.util.List<? extends wigeonreel.wire.AccountDemandOrBuilder> 
-         getDemandsOrBuilderList() {
-      if (demandsBuilder_ != null) {
-        return demandsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends wigeonreel.wire.TokenWantOrBuilder> 
+         getWantsOrBuilderList() {
+      if (wantsBuilder_ != null) {
+        return wantsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(demands_);
+        return java.util.Collections.unmodifiableList(wants_);
       }
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public wigeonreel.wire.AccountDemand.Builder addDemandsBuilder() {
-      return getDemandsFieldBuilder().addBuilder(
-          wigeonreel.wire.AccountDemand.getDefaultInstance());
+    public wigeonreel.wire.TokenWant.Builder addWantsBuilder() {
+      return getWantsFieldBuilder().addBuilder(
+          wigeonreel.wire.TokenWant.getDefaultInstance());
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public wigeonreel.wire.AccountDemand.Builder addDemandsBuilder(
+    public wigeonreel.wire.TokenWant.Builder addWantsBuilder(
         int index) {
-      return getDemandsFieldBuilder().addBuilder(
-          index, wigeonreel.wire.AccountDemand.getDefaultInstance());
+      return getWantsFieldBuilder().addBuilder(
+          index, wigeonreel.wire.TokenWant.getDefaultInstance());
     }
     /**
-     * <code>repeated .wigeonreel.wire.AccountDemand demands = 2;</code>
+     * <code>repeated .wigeonreel.wire.TokenWant wants = 2;</code>
      */
-    public java.util.List<wigeonreel.wire.AccountDemand.Builder> 
-         getDemandsBuilderList() {
-      return getDemandsFieldBuilder().getBuilderList();
+    public java.util.List<wigeonreel.wire.TokenWant.Builder> 
+         getWantsBuilderList() {
+      return getWantsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilderV3<
-        wigeonreel.wire.AccountDemand, wigeonreel.wire.AccountDemand.Builder, wigeonreel.wire.AccountDemandOrBuilder> 
-        getDemandsFieldBuilder() {
-      if (demandsBuilder_ == null) {
-        demandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
-            wigeonreel.wire.AccountDemand, wigeonreel.wire.AccountDemand.Builder, wigeonreel.wire.AccountDemandOrBuilder>(
-                demands_,
+        wigeonreel.wire.TokenWant, wigeonreel.wire.TokenWant.Builder, wigeonreel.wire.TokenWantOrBuilder> 
+        getWantsFieldBuilder() {
+      if (wantsBuilder_ == null) {
+        wantsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            wigeonreel.wire.TokenWant, wigeonreel.wire.TokenWant.Builder, wigeonreel.wire.TokenWantOrBuilder>(
+                wants_,
                 ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
-        demands_ = null;
+        wants_ = null;
       }
-      return demandsBuilder_;
+      return wantsBuilder_;
     }
     @java.lang.Override
     public final Builder setUnknownFields(
@@ -843,23 +843,23 @@
     }
 
 
-    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.DemandReport)
+    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.TokenRequest)
   }
 
-  // @@protoc_insertion_point(class_scope:wigeonreel.wire.DemandReport)
-  private static final wigeonreel.wire.DemandReport DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:wigeonreel.wire.TokenRequest)
+  private static final wigeonreel.wire.TokenRequest DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new wigeonreel.wire.DemandReport();
+    DEFAULT_INSTANCE = new wigeonreel.wire.TokenRequest();
   }
 
-  public static wigeonreel.wire.DemandReport getDefaultInstance() {
+  public static wigeonreel.wire.TokenRequest getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<DemandReport>
-      PARSER = new com.google.protobuf.AbstractParser<DemandReport>() {
+  private static final com.google.protobuf.Parser<TokenRequest>
+      PARSER = new com.google.protobuf.AbstractParser<TokenRequest>() {
     @java.lang.Override
-    public DemandReport parsePartialFrom(
+    public TokenRequest parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -878,17 +878,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<DemandReport> parser() {
+  public static com.google.protobuf.Parser<TokenRequest> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<DemandReport> getParserForType() {
+  public com.google.protobuf.Parser<TokenRequest> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public wigeonreel.wire.DemandReport getDefaultInstanceForType() {
+  public wigeonreel.wire.TokenRequest getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/wigeonreel/wire/RateGrant.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenWant.java
@@ -5,18 +5,18 @@
 package wigeonreel.wire;
 
 /**
- * Protobuf type {@code wigeonreel.wire.RateGrant}
+ * Protobuf type {@code wigeonreel.wire.TokenWant}
  */
-public final class RateGrant extends
+public final class TokenWant extends
     com.google.protobuf.GeneratedMessageV3 implements
-    // @@protoc_insertion_point(message_implements:wigeonreel.wire.RateGrant)
-    RateGrantOrBuilder {
+    // @@protoc_insertion_point(message_implements:wigeonreel.wire.TokenWant)
+    TokenWantOrBuilder {
 private static final long serialVersionUID = 0L;
-  // Use RateGrant.newBuilder() to construct.
-  private RateGrant(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
+  // Use TokenWant.newBuilder() to construct.
+  private TokenWant(com.google.protobuf.GeneratedMessageV3.Builder<?> builder) {
     super(builder);
   }
-  private RateGrant() {
+  private TokenWant() {
     account_ = "";
   }
 
@@ -24,20 +24,20 @@
   @SuppressWarnings({"unused"})
   protected java.lang.Object newInstance(
       UnusedPrivateParameter unused) {
-    return new RateGrant();
+    return new TokenWant();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrant_descriptor;
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenWant_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrant_fieldAccessorTable
+    return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenWant_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            wigeonreel.wire.RateGrant.class, wigeonreel.wire.RateGrant.Builder.class);
+            wigeonreel.wire.TokenWant.class, wigeonreel.wire.TokenWant.Builder.class);
   }
 
   public static final int ACCOUNT_FIELD_NUMBER = 1;
@@ -79,15 +79,15 @@
     }
   }
 
-  public static final int PER_SECOND_FIELD_NUMBER = 2;
-  private double perSecond_ = 0D;
+  public static final int TOKENS_FIELD_NUMBER = 2;
+  private int tokens_ = 0;
   /**
-   * <code>double per_second = 2;</code>
-   * @return The perSecond.
+   * <code>uint32 tokens = 2;</code>
+   * @return The tokens.
    */
   @java.lang.Override
-  public double getPerSecond() {
-    return perSecond_;
+  public int getTokens() {
+    return tokens_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -107,8 +107,8 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 1, account_);
     }
-    if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
-      output.writeDouble(2, perSecond_);
+    if (tokens_ != 0) {
+      output.writeUInt32(2, tokens_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -122,9 +122,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(1, account_);
     }
-    if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+    if (tokens_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, perSecond_);
+        .computeUInt32Size(2, tokens_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -136,16 +136,15 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof wigeonreel.wire.RateGrant)) {
+    if (!(obj instanceof wigeonreel.wire.TokenWant)) {
       return super.equals(obj);
     }
-    wigeonreel.wire.RateGrant other = (wigeonreel.wire.RateGrant) obj;
+    wigeonreel.wire.TokenWant other = (wigeonreel.wire.TokenWant) obj;
 
     if (!getAccount()
         .equals(other.getAccount())) return false;
-    if (java.lang.Double.doubleToLongBits(getPerSecond())
-        != java.lang.Double.doubleToLongBits(
-            other.getPerSecond())) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -159,52 +158,51 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
-    hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getPerSecond()));
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getTokens();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(byte[] data)
+  public static wigeonreel.wire.TokenWant parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenWant parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -212,26 +210,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static wigeonreel.wire.RateGrant parseDelimitedFrom(java.io.InputStream input)
+  public static wigeonreel.wire.TokenWant parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static wigeonreel.wire.RateGrant parseDelimitedFrom(
+  public static wigeonreel.wire.TokenWant parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageV3
         .parseWithIOException(PARSER, input);
   }
-  public static wigeonreel.wire.RateGrant parseFrom(
+  public static wigeonreel.wire.TokenWant parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -244,7 +242,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(wigeonreel.wire.RateGrant prototype) {
+  public static Builder newBuilder(wigeonreel.wire.TokenWant prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -260,26 +258,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code wigeonreel.wire.RateGrant}
+   * Protobuf type {@code wigeonreel.wire.TokenWant}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageV3.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.RateGrant)
-      wigeonreel.wire.RateGrantOrBuilder {
+      // @@protoc_insertion_point(builder_implements:wigeonreel.wire.TokenWant)
+      wigeonreel.wire.TokenWantOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrant_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenWant_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessageV3.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrant_fieldAccessorTable
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenWant_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              wigeonreel.wire.RateGrant.class, wigeonreel.wire.RateGrant.Builder.class);
+              wigeonreel.wire.TokenWant.class, wigeonreel.wire.TokenWant.Builder.class);
     }
 
-    // Construct using wigeonreel.wire.RateGrant.newBuilder()
+    // Construct using wigeonreel.wire.TokenWant.newBuilder()
     private Builder() {
 
     }
@@ -294,24 +292,24 @@
       super.clear();
       bitField0_ = 0;
       account_ = "";
-      perSecond_ = 0D;
+      tokens_ = 0;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_RateGrant_descriptor;
+      return wigeonreel.wire.PeerOuterClass.internal_static_wigeonreel_wire_TokenWant_descriptor;
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrant getDefaultInstanceForType() {
-      return wigeonreel.wire.RateGrant.getDefaultInstance();
+    public wigeonreel.wire.TokenWant getDefaultInstanceForType() {
+      return wigeonreel.wire.TokenWant.getDefaultInstance();
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrant build() {
-      wigeonreel.wire.RateGrant result = buildPartial();
+    public wigeonreel.wire.TokenWant build() {
+      wigeonreel.wire.TokenWant result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -319,20 +317,20 @@
     }
 
     @java.lang.Override
-    public wigeonreel.wire.RateGrant buildPartial() {
-      wigeonreel.wire.RateGrant result = new wigeonreel.wire.RateGrant(this);
+    public wigeonreel.wire.TokenWant buildPartial() {
+      wigeonreel.wire.TokenWant result = new wigeonreel.wire.TokenWant(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(wigeonreel.wire.RateGrant result) {
+    private void buildPartial0(wigeonreel.wire.TokenWant result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.account_ = account_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.perSecond_ = perSecond_;
+        result.tokens_ = tokens_;
       }
     }
 
@@ -370,23 +368,23 @@
     }
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof wigeonreel.wire.RateGrant) {
-        return mergeFrom((wigeonreel.wire.RateGrant)other);
+      if (other instanceof wigeonreel.wire.TokenWant) {
+        return mergeFrom((wigeonreel.wire.TokenWant)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(wigeonreel.wire.RateGrant other) {
-      if (other == wigeonreel.wire.RateGrant.getDefaultInstance()) return this;
+    public Builder mergeFrom(wigeonreel.wire.TokenWant other) {
+      if (other == wigeonreel.wire.TokenWant.getDefaultInstance()) return this;
       if (!other.getAccount().isEmpty()) {
         account_ = other.account_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getPerSecond() != 0D) {
-        setPerSecond(other.getPerSecond());
+      if (other.getTokens() != 0) {
+        setTokens(other.getTokens());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -419,11 +417,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 17: {
-              perSecond_ = input.readDouble();
+            case 16: {
+              tokens_ = input.readUInt32();
               bitField0_ |= 0x00000002;
               break;
-            } // case 17
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -513,34 +511,34 @@
       return this;
     }
 
-    private double perSecond_ ;
+    private int tokens_ ;
     /**
-     * <code>double per_second = 2;</code>
-     * @return The perSecond.
+     * <code>uint32 tokens = 2;</code>
+     * @return The tokens.
      */
     @java.lang.Override
-    public double getPerSecond() {
-      return perSecond_;
+    public int getTokens() {
+      return tokens_;
     }
     /**
-     * <code>double per_second = 2;</code>
-     * @param value The perSecond to set.
+     * <code>uint32 tokens = 2;</code>
+     * @param value The tokens to set.
      * @return This builder for chaining.
      */
-    public Builder setPerSecond(double value) {
+    public Builder setTokens(int value) {
 
-      perSecond_ = value;
+      tokens_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>double per_second = 2;</code>
+     * <code>uint32 tokens = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPerSecond() {
+    public Builder clearTokens() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      perSecond_ = 0D;
+      tokens_ = 0;
       onChanged();
       return this;
     }
@@ -557,23 +555,23 @@
     }
 
 
-    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.RateGrant)
+    // @@protoc_insertion_point(builder_scope:wigeonreel.wire.TokenWant)
   }
 
-  // @@protoc_insertion_point(class_scope:wigeonreel.wire.RateGrant)
-  private static final wigeonreel.wire.RateGrant DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:wigeonreel.wire.TokenWant)
+  private static final wigeonreel.wire.TokenWant DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new wigeonreel.wire.RateGrant();
+    DEFAULT_INSTANCE = new wigeonreel.wire.TokenWant();
   }
 
-  public static wigeonreel.wire.RateGrant getDefaultInstance() {
+  public static wigeonreel.wire.TokenWant getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<RateGrant>
-      PARSER = new com.google.protobuf.AbstractParser<RateGrant>() {
+  private static final com.google.protobuf.Parser<TokenWant>
+      PARSER = new com.google.protobuf.AbstractParser<TokenWant>() {
     @java.lang.Override
-    public RateGrant parsePartialFrom(
+    public TokenWant parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -592,17 +590,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<RateGrant> parser() {
+  public static com.google.protobuf.Parser<TokenWant> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<RateGrant> getParserForType() {
+  public com.google.protobuf.Parser<TokenWant> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public wigeonreel.wire.RateGrant getDefaultInstanceForType() {
+  public wigeonreel.wire.TokenWant getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/wigeonreel/wire/RateGrantOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenWantOrBuilder.java
@@ -4,8 +4,8 @@
 // Protobuf Java Version: 3.25.5
 package wigeonreel.wire;
 
-public interface RateGrantOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:wigeonreel.wire.RateGrant)
+public interface TokenWantOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:wigeonreel.wire.TokenWant)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -21,8 +21,8 @@
       getAccountBytes();
 
   /**
-   * <code>double per_second = 2;</code>
-   * @return The perSecond.
+   * <code>uint32 tokens = 2;</code>
+   * @return The tokens.
    */
-  double getPerSecond();
+  int getTokens();
 }
