Refuse what comes after the decision to stop, and finish what came before

Now the daemon first refuses new requests as not run, then waits for what is open, then ends. Ruled out: the grace period (2.4 s were left).

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -137,7 +137,9 @@
         }
         control.execute { fleet.leave(MemberState.LEAVING) }
         events.changed("stop", "leaving")
-        while (!mayStop((System.nanoTime() - startedNs) / NS_PER_MS)) Thread.sleep(STOP_POLL_MS)
+        val quiet = await(startedNs) { sinceMs -> sinceMs > LEAVE_NOTICE_MS && open() == 0 }
+        traffic.execute { state.closing = true }
+        if (quiet) await(startedNs) { open() == 0 }
         events.changed("stopped", "inFlight=${state.inFlight}")
         kernel.stop()
     }
@@ -145,8 +147,18 @@
     /** Notes that the settings were read again. */
     fun onSettingsChanged(detail: String) = events.changed("reload", detail)
 
-    private fun mayStop(sinceMs: Long) =
-        sinceMs > settings.graceMs - GRACE_MARGIN_MS || (sinceMs > LEAVE_NOTICE_MS && traffic.submit<Int> { state.inFlight }.get() == 0)
+    /** Requests that are being answered here or wait for the backend server beside this daemon. */
+    private fun open(): Int = traffic.submit<Int> { state.inFlight + guard.waiting }.get()
+
+    /** Waits until [condition] holds; returns false when the grace period ends before. */
+    private fun await(startedNs: Long, condition: (sinceMs: Long) -> Boolean): Boolean {
+        while (true) {
+            val sinceMs = (System.nanoTime() - startedNs) / NS_PER_MS
+            if (condition(sinceMs)) return true
+            if (sinceMs > settings.graceMs - GRACE_MARGIN_MS) return false
+            Thread.sleep(STOP_POLL_MS)
+        }
+    }
 
     private fun tick() {
         val nowMs = clock.nowMs()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -69,6 +69,7 @@
     private fun accept(request: CallerRequest, nowMs: Long): Either<Refusal, MeshCall> =
         either {
             val view = ensureNotNull(state.view) { Refusal.ISOLATED }
+            ensure(!state.closing) { Refusal.DRAINING }
             ensure(request.key == null || !state.isolated(nowMs)) { Refusal.ISOLATED }
             val route = ensureNotNull(view.configuration.routes.find(request.host, request.http.path)) { Refusal.ROUTE_UNKNOWN }
             val account = accountOf(request, route, view.configuration).bind()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -73,6 +73,7 @@
         private var startedNs = 0L
 
         fun enter() {
+            if (state.closing) return refuse(Refusal.DRAINING, 0)
             if (!state.backendReady(arrivedAtMs) || state.backend.current?.service != request.service) return refuse(Refusal.NO_SERVER, 0)
             val arrival = Arrival(request.route, request.depth > 0, request.priority, deadlineMs, request.objectiveMs.toLong())
             val arranged = home.arrive(arrival, arrivedAtMs)
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -23,6 +23,9 @@
     /** Whether this daemon was told to stop. */
     var leaving = false
 
+    /** Whether this daemon takes nothing more, since it is about to end. */
+    var closing = false
+
     /** Requests that were read and not yet answered, and forwarded ones that run. */
     var inFlight: Int = 0
 
