Count the fleet as large until it is known; write logs in batches within a budget

Lines are written in batches and thinned beyond 60 a second; a request goes to one more full guard instead of three.

--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -10,6 +10,8 @@
     val slots: Int,
 )
 
+private const val HUNDREDTHS = 100.0
+
 /** Why a server was chosen, or that none could be. */
 sealed interface RouteDecision {
     /** The one log line of this decision. */
@@ -21,7 +23,7 @@
         val distance: Distance,
         val load: Double,
     ) : RouteDecision {
-        override val logLine get() = "to $daemon distance=${distance.name.lowercase()} load=${"%.2f".format(load)}"
+        override val logLine get() = "to $daemon distance=${distance.name.lowercase()} load=${Math.round(load * HUNDREDTHS) / HUNDREDTHS}"
     }
 
     /** No server of the service can be chosen. */
--- a/ctl/src/main/kotlin/wigeonreel/ctl/Main.kt
+++ b/ctl/src/main/kotlin/wigeonreel/ctl/Main.kt
@@ -28,6 +28,7 @@
   label set ENTRY LABEL VALUE      set a label, ENTRY as account/NAME or service/NAME
   status                           print what the daemon knows of itself and of the fleet
   drain                            let the daemon leave
+  trace ID [FILE...]               tell the story of one request from daemons' logs, or from standard input
   explain SERVICE ACCOUNT [METHOD] [PATH]   tell what would become of such a request"""
 
 /** Runs `wigeonctl`. */
@@ -66,17 +67,28 @@
             "label set" -> wants(rest, 3, "label set ENTRY LABEL VALUE") { setLabel(it[0], it[1], it[2]) }
             "status" -> show(get("/status"))
             "drain" -> show(client.call("POST", "/drain") ?: unreachable())
-            else ->
-                if (words.firstOrNull() ==
-                    "explain"
-                ) {
-                    explain(words.drop(1))
-                } else {
-                    fail(ExitCode.USAGE, "wigeonctl: no such command\n$COMMANDS")
-                }
+            else -> runSingle(words)
         }
     }
 
+    private fun runSingle(words: List<String>) =
+        when (words.firstOrNull()) {
+            "explain" -> explain(words.drop(1))
+            "trace" -> trace(words.drop(1))
+            else -> fail(ExitCode.USAGE, "wigeonctl: no such command\n$COMMANDS")
+        }
+
+    private fun trace(words: List<String>) {
+        val id = words.firstOrNull() ?: fail(ExitCode.USAGE, "wigeonctl: write trace ID [FILE...]")
+        val files = words.drop(1)
+        val lines = if (files.isEmpty()) generateSequence(::readLine) else files.asSequence().flatMap { linesOf(it) }
+        println(traceRequest(lines, id).toText())
+    }
+
+    private fun linesOf(file: String): List<String> =
+        runCatching { Files.readAllLines(Path.of(file)) }
+            .getOrElse { fail(ExitCode.FAILED, "wigeonctl: $file can't be read; give a readable log file") }
+
     private fun apply(edit: ConfigEdit) = show(post("/config/apply", listOf(edit)))
 
     private fun setLabel(entry: String, label: String, value: String) {
--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -34,6 +34,7 @@
     val provenAtMs: Long,
     val heardAtMs: Long,
     val changed: Boolean,
+    val announcementsRead: Boolean,
 )
 
 /**
@@ -69,6 +70,8 @@
     private var nextPollMs = 0L
     private var nextSeedsMs = 0L
     private var seedReads = 0
+    private var announcementsRead = false
+    private val startedAtMs = clock.nowMs()
     private var nextStewardMs = 0L
     private var writing = false
     private var fetchingUntilMs = 0L
@@ -153,7 +156,10 @@
     private fun readSeeds(nowMs: Long) {
         val alone = membership.view.size == 1
         nextSeedsMs = nowMs + if (alone) SEEDS_ALONE_MS else SEEDS_MS.getOrElse(seedReads++) { SEEDS_MS.last() }
-        registry.readSeeds { seeds -> membership.seed(seeds.filter { it.id != self.id }, clock.nowMs()) }
+        registry.readSeeds { seeds ->
+            announcementsRead = true
+            membership.seed(seeds.filter { it.id != self.id }, clock.nowMs())
+        }
     }
 
     /** A few daemons of each failure domain read the store often; the others learn by gossip. */
@@ -224,7 +230,17 @@
         publishedVersion = version
         val heardAtMs = maxOf(membership.heardAtMs ?: 0, keeper.storeHeardAtMs)
         val members = if (changed) membership.view.members.toList() else emptyList()
-        publish(Publication(self, members, keeper.replica.current.takeIf { keeper.replica.ready }, keeper.provenAtMs, heardAtMs, changed))
+        publish(
+            Publication(
+                self,
+                members,
+                keeper.replica.current.takeIf { keeper.replica.ready },
+                keeper.provenAtMs,
+                heardAtMs,
+                changed,
+                announcementsRead || (membership.view.size > 1 && nowMs - startedAtMs > MEETING_MS),
+            ),
+        )
         if (changed) log.info("view members=${membership.view.size} config=$version at $nowMs")
     }
 
@@ -239,6 +255,9 @@
         const val POLLERS_PER_DOMAIN = 2
         const val STEWARD_INTERVAL_MS = 1_000L
         const val STEWARD_ALONE_AFTER_MS = 5_000L
+
+        /** Time in which a daemon meets the whole fleet through its peers when the store is away, in milliseconds. */
+        const val MEETING_MS = 3_000L
         const val SEEDS_ALONE_MS = 1_000L
         val SEEDS_MS = listOf(700L, 1_500L, 3_000L, 30_000L)
         const val FETCH_INTERVAL_MS = 200L
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -187,6 +187,7 @@
     private fun publish(publication: Publication) =
         traffic.execute {
             state.heardAtMs = publication.heardAtMs
+            state.announcementsRead = publication.announcementsRead
             val configuration = publication.configuration
             if (publication.changed && configuration != null) {
                 val before = state.view?.configuration?.version
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -61,7 +61,7 @@
                 left && within -> quota.giveBack(account)
                 left -> Unit
                 within -> send(exchange, call)
-                else -> refuse(exchange, call.request, Refusal.OVER_RATE, quota.waitMs(account))
+                else -> refuse(exchange, call.request, Refusal.OVER_RATE, quota.waitMs(account), account)
             }
         }
     }
@@ -111,8 +111,14 @@
         }
     }
 
-    private fun refuse(exchange: HttpExchange, request: CallerRequest?, refusal: Refusal, retryAfterMs: Int = refusal.retryAfterMs) {
-        events.refused(request, refusal)
+    private fun refuse(
+        exchange: HttpExchange,
+        request: CallerRequest?,
+        refusal: Refusal,
+        retryAfterMs: Int = refusal.retryAfterMs,
+        account: AccountConfig? = null,
+    ) {
+        events.refused(request, refusal, account?.name)
         exchange.respond(protocol.refusal(refusal, retryAfterMs), close = state.leaving || refusal == Refusal.KEY_INVALID)
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEvents.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEvents.kt
@@ -22,12 +22,15 @@
     private val clock: Clock,
 ) {
     private val counters = HashMap<String, Counter>()
+    private val thinned = Counter.builder("wigeon.log.thinned").description("lines of failures left out under load").register(registry)
+    private var budgetSecond = 0L
+    private var linesLeft = LINES_PER_SECOND
     private val answerTime = Timer.builder("wigeon.answer.time").publishPercentiles(MEDIAN, HIGH).register(registry)
 
     /** Notes where a request is sent. */
     fun placed(call: MeshCall, decision: RouteDecision, tried: Int) {
         val id = call.request.id
-        if (tried == 0 && decision is RouteDecision.To && !sampled(id)) return
+        if (decision is RouteDecision.To && !sampled(id) || !worthLogging(id)) return
         log.write("place", clock.nowMs()) {
             put("id", id)
             put("route", call.route.name)
@@ -41,7 +44,7 @@
     fun guarded(request: ForwardRequest, reply: ForwardReply, heldMs: Long) {
         val served = reply.outcome == Outcome.ANSWERED && reply.status < SERVER_ERROR
         count("wigeon.guard", if (reply.outcome == Outcome.ANSWERED) "answered" else reply.refusal)
-        if (served && !sampled(request.rootId)) return
+        if (served && !sampled(request.rootId) || !worthLogging(request.rootId)) return
         log.write("guard", clock.nowMs()) {
             put("id", request.rootId)
             put("attempt", request.attemptId)
@@ -63,7 +66,7 @@
         answerTime.record(tookMs, TimeUnit.MILLISECONDS)
         val status = (result as? MeshResult.Answered)?.response?.status ?: 0
         count("wigeon.answers", outcomeOf(result))
-        if (status in 1 until SERVER_ERROR && !sampled(call.request.id)) return
+        if (status in 1 until SERVER_ERROR && !sampled(call.request.id) || !worthLogging(call.request.id)) return
         log.write("answer", nowMs) {
             put("id", call.request.id)
             put("route", call.route.name)
@@ -75,12 +78,14 @@
     }
 
     /** Notes a request that was refused at the entry. */
-    fun refused(request: CallerRequest?, refusal: Refusal) {
+    fun refused(request: CallerRequest?, refusal: Refusal, account: String? = null) {
         count("wigeon.entry.refusals", refusal.wireName)
+        if (!worthLogging(request?.id.orEmpty())) return
         log.write("refuse", clock.nowMs()) {
             put("id", request?.id)
             put("host", request?.host)
             put("path", request?.http?.path)
+            put("account", account)
             put("reason", refusal.wireName)
         }
     }
@@ -124,6 +129,20 @@
             .getOrPut("$name/$outcome") { Counter.builder(name).tag("outcome", outcome).register(registry) }
             .increment()
 
+    /** Failures are logged up to a number a second; beyond it only those of sampled requests are. */
+    private fun worthLogging(id: String): Boolean {
+        val second = clock.nowMs() / MS_PER_SECOND
+        if (second != budgetSecond) {
+            budgetSecond = second
+            linesLeft = LINES_PER_SECOND
+        }
+        if (linesLeft > 0) {
+            linesLeft--
+            return true
+        }
+        return sampled(id).also { if (!it) thinned.increment() }
+    }
+
     /** Keeps or drops all lines of one request alike, on every daemon. */
     private fun sampled(id: String) = id.hashCode() and SAMPLE_MASK == 0
 
@@ -133,6 +152,11 @@
         const val SERVER_ERROR = 500
         const val STATUS_CLASS = 100
 
+        const val MS_PER_SECOND = 1_000L
+
+        /** Lines about failures that a daemon writes in a second; about the number of requests that it takes in a quiet one. */
+        const val LINES_PER_SECOND = 60
+
         /** One request in 64 that went well is logged. */
         const val SAMPLE_MASK = 63
     }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -8,6 +8,7 @@
 import wigeonreel.limit.TokenGrant
 import wigeonreel.limit.TokenPool
 import wigeonreel.limit.TokenStock
+import wigeonreel.limit.dividingDaemons
 import wigeonreel.membership.Member
 import wigeonreel.membership.MemberState
 import wigeonreel.peer.PeerClients
@@ -63,7 +64,7 @@
         val view = state.view ?: return TokenGrants.getDefaultInstance()
         val accounts = view.configuration.accounts
         val wanted = request.wantsList.mapNotNull { want -> accounts[want.account]?.let { it to want.tokens } }.toMap()
-        val grants = pool.ask(request.daemon, wanted, daemonsOf(view), clock.nowMs())
+        val grants = pool.ask(request.daemon, wanted, dividingDaemons(view.knownDaemons, state.announcementsRead), clock.nowMs())
         return TokenGrants.newBuilder().addAllGrants(grants.map { it.toWire() }).build()
     }
 
@@ -117,9 +118,6 @@
 
     private fun stockOf(account: String) = stocks.getOrPut(account) { TokenStock(clock.nowMs()) }
 
-    /** A daemon that knows nobody yet must not take the whole limit for its own. */
-    private fun daemonsOf(view: FleetView): Int = if (view.knownDaemons > 1) view.knownDaemons else ASSUMED_DAEMONS
-
     private fun TokenGrant.toWire() =
         WireGrant
             .newBuilder()
@@ -137,8 +135,5 @@
 
         /** Time for which a steward that did not answer is passed over, in milliseconds. */
         const val AVOID_MS = 2_000L
-
-        /** Daemons assumed by one that knows no other. */
-        const val ASSUMED_DAEMONS = 16
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -132,7 +132,8 @@
         /** A guard's refusal costs no server anything; all else is a repeat and needs budget. */
         private fun onRefused(refusal: Refusal, member: Member) {
             if (refusal in TURNED_AWAY) {
-                if (tried.size <= MAX_PLACEMENTS) place(refusal) else refuse(refusal)
+                val most = if (refusal == Refusal.OVERLOADED) MAX_FULL_PLACEMENTS else MAX_PLACEMENTS
+                if (tried.size <= most) place(refusal) else refuse(refusal)
                 return
             }
             arrivals++
@@ -187,6 +188,9 @@
         /** Guards asked after the first one; each costs a round trip, and more than two rarely know better. */
         const val MAX_PLACEMENTS = 3
 
+        /** Full guards asked after the first one: where two are full, the service is. */
+        const val MAX_FULL_PLACEMENTS = 1
+
         /** Time after the deadline for a reply under way, in milliseconds. */
         const val REPLY_MARGIN_MS = 50L
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -11,6 +11,9 @@
     /** Time at which the store or a peer was last heard, in milliseconds. */
     var heardAtMs: Long = 0
 
+    /** Whether the daemons of the fleet are known, and not only those that were met so far. */
+    var announcementsRead = false
+
     /** Backend server beside this daemon. */
     val backend = BackendTracker()
 
--- a/kernel/src/main/kotlin/wigeonreel/kernel/EventLog.kt
+++ b/kernel/src/main/kotlin/wigeonreel/kernel/EventLog.kt
@@ -11,7 +11,7 @@
  * Writers never wait: when the ring is full, lines are dropped, counted and told of.
  *
  * @param capacity lines that the ring holds.
- * @param sink takes one line; called by the writer thread only.
+ * @param sink takes one line or several; called by the writer thread only.
  */
 class EventLog(
     capacity: Int = RING_LINES,
@@ -52,13 +52,22 @@
     }
 
     private fun drain() {
-        while (true) sink(ring.poll() ?: break)
+        while (true) sink(nextBatch() ?: break)
         val lost = dropped
         if (lost != told) sink(EventLine("log-dropped", System.currentTimeMillis()).apply { put("lines", lost - told) }.finish())
         told = lost
     }
 
+    /** Several lines are written at once, since each write is a system call. */
+    private fun nextBatch(): String? {
+        val first = ring.poll() ?: return null
+        val batch = StringBuilder(first)
+        while (batch.length < BATCH_CHARS) batch.append('\n').append(ring.poll() ?: break)
+        return batch.trimEnd('\n').toString()
+    }
+
     private companion object {
+        const val BATCH_CHARS = 16_384
         const val RING_LINES = 4_096
 
         /** Pause between two looks at the ring; long, since each wake-up costs processor time. */
--- a/kernel/src/main/kotlin/wigeonreel/kernel/Log.kt
+++ b/kernel/src/main/kotlin/wigeonreel/kernel/Log.kt
@@ -8,7 +8,7 @@
  * Decision lines are at debug level, so that a level switches them off.
  */
 class Log(
-    part: String,
+    private val part: String,
 ) {
     private val prefix = "$part: "
 
@@ -16,11 +16,26 @@
     fun decision(message: () -> String) = Logger.debug { prefix + message() }
 
     /** Logs a change of state. */
-    fun info(message: String) = Logger.info(prefix + message)
+    fun info(message: String) = Logger.info(lineOf("info", message))
 
     /** Logs something that an operator should look at. */
-    fun warn(message: String) = Logger.warn(prefix + message)
+    fun warn(message: String) = Logger.warn(lineOf("warn", message))
 
     /** Logs a failure of the program itself. */
-    fun error(message: String, cause: Throwable) = Logger.error(cause, prefix + message)
+    fun error(message: String, cause: Throwable) = Logger.error(cause, lineOf("error", message))
+
+    private fun lineOf(level: String, message: String): String {
+        if (!STRUCTURED) return prefix + message
+        val line = EventLine("log", System.currentTimeMillis())
+        line.put("part", part)
+        line.put("level", level)
+        line.put("message", message)
+        return line.finish()
+    }
+
+    companion object {
+        /** System property that turns all lines into JSON objects when it is `true`. */
+        const val STRUCTURED_PROPERTY: String = "wigeonreel.log.structured"
+        private val STRUCTURED by lazy { System.getProperty(STRUCTURED_PROPERTY) == "true" }
+    }
 }
