Turn whole requests away when the calls of a backend server find no room below

Also: a silent server on the same VM is noticed after 300 ms, those who wait for a server that is gone are told at once, MeshDaemon split by the types it held.

--- a/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
@@ -113,6 +113,9 @@
     /** Takes a waiting request out. Returns whether it was waiting. */
     fun leave(ticket: Ticket): Boolean = waiting.remove(ticket)
 
+    /** Takes out all waiting requests, since the server that they wait for is gone. */
+    fun clear(): List<Ticket> = waiting.toList().also { waiting.clear() }
+
     /** Takes out the waiting requests that can't be served in time any more. */
     fun dropHopeless(nowMs: Long): List<Ticket> {
         val dropped = mutableListOf<Ticket>()
--- a/core/src/test/kotlin/wigeonreel/admission/WaitingRoomTest.kt
+++ b/core/src/test/kotlin/wigeonreel/admission/WaitingRoomTest.kt
@@ -74,6 +74,15 @@
         expectThat(room.finish(running, 1.0)).isEmpty()
     }
 
+    @Test
+    fun `all who wait for a server that is gone are told at once`() {
+        val room = WaitingRoom(1)
+        room.fill(1)
+        val waiting = (room.arrive(arrival(), 0).admission as Admission.Wait).ticket
+        expectThat(room.clear()).containsExactly(waiting)
+        expectThat(room.waitingCount).isEqualTo(0)
+    }
+
     private class Served(
         var calls: Int = 0,
         var callsOffered: Int = 0,
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -3,13 +3,11 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import io.netty.channel.EventLoopGroup
 import wigeonreel.backend.BackendReport
 import wigeonreel.backend.BackendState
 import wigeonreel.backend.ReportOutcome
 import wigeonreel.codec.toCore
 import wigeonreel.codec.toWire
-import wigeonreel.control.ControlPolicy
 import wigeonreel.control.ControlService
 import wigeonreel.control.Departure
 import wigeonreel.control.DepartureRecord
@@ -17,11 +15,8 @@
 import wigeonreel.daemon.Clock
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
-import wigeonreel.http.HttpExchange
-import wigeonreel.http.HttpFault
 import wigeonreel.http.HttpHandler
 import wigeonreel.http.HttpListener
-import wigeonreel.http.HttpResponse
 import wigeonreel.http.dutyLoop
 import wigeonreel.http.textResponse
 import wigeonreel.kernel.EventLog
@@ -35,7 +30,6 @@
 import wigeonreel.peer.PeerHandler
 import wigeonreel.retry.RepeatBudget
 import wigeonreel.routing.Router
-import wigeonreel.store.TableService
 import wigeonreel.traffic.FleetView
 import wigeonreel.wire.BlockReply
 import wigeonreel.wire.BlockRequest
@@ -52,23 +46,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
-/** How a platform is spoken to: its callers, its backend servers, its configuration and its store. */
-class MeshPlatform(
-    val callers: CallerProtocol,
-    val servers: ServerProtocol,
-    val control: ControlPolicy,
-    val connectTable: (EventLoopGroup) -> TableService,
-)
-
-/** Takes what the backend server beside a daemon says of itself. */
-interface BackendReports {
-    /** Takes a report; returns what it changed. */
-    fun report(report: BackendReport): ReportOutcome
-
-    /** Takes the word that the server [instance] leaves for good. */
-    fun leave(instance: String, startedAtMs: Long?)
-}
-
 /** Daemon on a platform that brings its own protocols: puts the services together and joins its two duties. */
 class MeshDaemon(
     private val settings: MeshSettings,
@@ -95,7 +72,7 @@
         )
     private val quota = kernel.register(MeshQuota(traffic, settings.id, state, peers, clock, ::onUnreachable))
     private val entry =
-        kernel.register(MeshEntry(state, platform.callers, quota, sender, events, clock))
+        kernel.register(MeshEntry(state, platform.callers, quota, sender, guard::onServerCall, events, clock))
     private val table = platform.connectTable(control)
     private val departures = DepartureRecord(control, table, settings.id)
     private val fleet =
@@ -248,14 +225,6 @@
         }
     }
 
-    private class PageHandler(
-        private val page: () -> HttpResponse,
-    ) : HttpHandler {
-        override fun handle(exchange: HttpExchange) = exchange.respond(page())
-
-        override fun reject(fault: HttpFault): HttpResponse = textResponse(BAD_REQUEST, "malformed request")
-    }
-
     private inner class PeerCalls : PeerHandler {
         override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) = guard.forward(request, onReply)
 
@@ -276,7 +245,6 @@
 
     private companion object {
         const val OK = 200
-        const val BAD_REQUEST = 400
         const val UNAVAILABLE = 503
         const val MESSAGE_OVERHEAD_BYTES = 65_536
         const val TICK_MS = 50L
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -26,6 +26,7 @@
     private val protocol: CallerProtocol,
     private val quota: MeshQuota,
     private val sender: MeshSender,
+    private val onServerCall: (refusedForRoom: Boolean) -> Unit,
     private val events: MeshEvents,
     private val clock: Clock,
 ) : Service,
@@ -102,6 +103,7 @@
 
     private fun answer(exchange: HttpExchange, call: MeshCall, result: MeshResult) {
         events.answered(call, result, clock.nowMs())
+        if (call.begun) onServerCall(result is MeshResult.Refused && result.refusal == Refusal.OVERLOADED)
         when (result) {
             is MeshResult.Answered -> exchange.respond(result.response, close = state.leaving)
             is MeshResult.Refused -> {
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -2,6 +2,7 @@
 
 import wigeonreel.admission.Admission
 import wigeonreel.admission.Arrival
+import wigeonreel.admission.CallFeedback
 import wigeonreel.admission.Ticket
 import wigeonreel.admission.WaitingRoom
 import wigeonreel.backend.BackendReport
@@ -39,6 +40,7 @@
     override val name = "guard"
     private var room = WaitingRoom(1)
     private val visits = HashMap<Ticket, Visit>()
+    private val feedback = CallFeedback()
 
     /** Requests that the server runs. */
     val running: Int get() = room.runningCount
@@ -48,7 +50,10 @@
 
     /** Takes a changed server into account; a new one starts with an empty room. */
     fun onServer(server: BackendReport, isNew: Boolean) {
-        if (isNew) room = WaitingRoom(server.slots) else room.declare(server.slots)
+        if (!isNew) return room.declare(server.slots)
+        val earlier = room
+        room = WaitingRoom(server.slots)
+        earlier.clear().forEach { visits[it]?.displaced(Refusal.NO_SERVER) }
     }
 
     /** Admits [request] and runs it on the local server; returns how to cancel it. */
@@ -58,8 +63,11 @@
         return visit::cancel
     }
 
+    /** Notes how a call that the local server made ended. */
+    fun onServerCall(refusedForRoom: Boolean) = feedback.onCall(refusedForRoom, clock.nowMs())
+
     /** Refuses the waiting requests that can't be served in time any more; to be called every few milliseconds. */
-    fun sweep(nowMs: Long) = room.dropHopeless(nowMs).forEach { visits[it]?.displaced() }
+    fun sweep(nowMs: Long) = room.dropHopeless(nowMs).forEach { visits[it]?.displaced(Refusal.OVERLOADED) }
 
     private inner class Visit(
         private val request: ForwardRequest,
@@ -75,9 +83,12 @@
         fun enter() {
             if (state.closing) return refuse(Refusal.DRAINING, 0)
             if (!state.backendReady(arrivedAtMs) || state.backend.current?.service != request.service) return refuse(Refusal.NO_SERVER, 0)
+            if (!feedback.admits(urgent = request.depth == 0 && request.priority == 0, arrivedAtMs)) {
+                return refuse(Refusal.OVERLOADED, FULL_BELOW_RETURN_MS)
+            }
             val arrival = Arrival(request.route, request.depth > 0, request.priority, deadlineMs, request.objectiveMs.toLong())
             val arranged = home.arrive(arrival, arrivedAtMs)
-            arranged.displaced.forEach { visits[it]?.displaced() }
+            arranged.displaced.forEach { visits[it]?.displaced(Refusal.OVERLOADED) }
             when (val admission = arranged.admission) {
                 is Admission.Run -> take(admission.ticket).also { run() }
                 is Admission.Wait -> take(admission.ticket)
@@ -95,9 +106,9 @@
             }
         }
 
-        fun displaced() {
+        fun displaced(reason: Refusal) {
             forget()
-            refuse(Refusal.OVERLOADED, home.retryAfterMs())
+            refuse(reason, home.retryAfterMs())
         }
 
         fun run() {
@@ -111,7 +122,7 @@
             startedNs = System.nanoTime()
             val message = HttpRequest(request.method, request.uri, request.headersList.toHttp(), request.body.toByteArray())
             val maxIdleMs = if (request.atMostOnce) FRESH_MS else Long.MAX_VALUE
-            val options = SendOptions(maxIdleMs, acceptsUnframed = true) { protocol.belongs(request.rootId, it) }
+            val options = SendOptions(maxIdleMs, CONNECT_MS, acceptsUnframed = true) { protocol.belongs(request.rootId, it) }
             val outgoing = protocol.request(message, server.instance, leftMs)
             running =
                 connector.send(HttpAddress(server.host, server.port), outgoing, leftMs + ANSWER_MARGIN_MS, options) { result ->
@@ -195,6 +206,12 @@
         /** At-most-once requests use only connections that were in use within this time, in milliseconds: others may be closing. */
         const val FRESH_MS = 1_000L
 
+        /** Time after which a request may be let in again when a service below is full, in milliseconds: some windows of the feedback. */
+        const val FULL_BELOW_RETURN_MS = 800
+
+        /** Longest time for a connection to the server on the same VM, in milliseconds; one that is silent is down. */
+        const val CONNECT_MS = 300L
+
         /** Time after the deadline for the server's own late answer, in milliseconds. */
         const val ANSWER_MARGIN_MS = 40L
 
--- a/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
@@ -29,15 +29,19 @@
     }
 }
 
+private const val MAX_CONNECT_MS = 2_000L
+
 /**
  * How a request is sent.
  *
  * @param maxIdleMs longest time for which a kept connection may have been idle to be used; a server may be closing an older one.
+ * @param connectMs longest time for a new connection.
  * @param acceptsUnframed whether an answer without a length, which ends with its connection, is taken.
  * @param belongs whether an answer is the one to this request; others are dropped.
  */
 class SendOptions(
     val maxIdleMs: Long = Long.MAX_VALUE,
+    val connectMs: Long = MAX_CONNECT_MS,
     val acceptsUnframed: Boolean = false,
     val belongs: (HttpResponse) -> Boolean = { true },
 )
@@ -76,7 +80,7 @@
         val call = ClientCall(request, address, options, onResult)
         call.startTimer(loop.next(), timeoutMs)
         val kept = takeIdle(address, options.maxIdleMs)
-        if (kept != null) call.begin(kept) else connect(address, call, timeoutMs)
+        if (kept != null) call.begin(kept) else connect(address, call, minOf(timeoutMs, options.connectMs))
         return Cancellable { call.fail(LostReason.CANCELLED) }
     }
 
@@ -110,13 +114,13 @@
 
     private fun expired(kept: Kept, nowNs: Long) = !kept.channel.isActive || nowNs > kept.untilNs
 
-    private fun connect(address: HttpAddress, call: ClientCall, timeoutMs: Long) {
+    private fun connect(address: HttpAddress, call: ClientCall, connectMs: Long) {
         val bootstrap =
             Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs.coerceIn(1, MAX_CONNECT_MS).toInt())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs.coerceAtLeast(1).toInt())
                 .handler(initializer())
         bootstrap.connect(address.host, address.port).addListener { future ->
             if (future.isSuccess) call.begin((future as ChannelFuture).channel()) else call.notSent(future.cause())
@@ -144,7 +148,6 @@
         /** Time for which a connection is used when the server names none, in milliseconds. */
         const val DEFAULT_KEEP_MS = 4_000L
         const val NS_PER_MS = 1_000_000L
-        const val MAX_CONNECT_MS = 2_000L
         const val CHUNK_BYTES = 8_192
     }
 }
