--- a/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
@@ -49,11 +49,10 @@
                 send("/read/x").status == 200 &&
                 send("/book/x", method = "POST").status == 200
         }
+        // Both are equally far from the front daemon; a daemon beside one of them would send there only.
         fleet.await("both servers of the service are found") {
-            (1..10).forEach { _ -> send("/read/x", to = spare.callers) }.let {
-                spare.server.seen.isNotEmpty() &&
-                    back.server.seen.isNotEmpty()
-            }
+            send("/read/x")
+            spare.server.seen.isNotEmpty() && back.server.seen.isNotEmpty()
         }
     }
 
