Remove state of the waiting room that nothing read; correct a comment

Found on reading the change once more: Ticket.running was written and never read, meanServiceMs had no caller, and a comment in ConfigKeeper promised a second read that does not happen.

--- a/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
@@ -24,9 +24,7 @@
     val arrival: Arrival,
     val arrivedAtMs: Long,
     internal val order: Long,
-) {
-    internal var running = false
-}
+)
 
 /** What becomes of an arrival. */
 sealed interface Admission {
@@ -94,7 +92,7 @@
         if (arrival.deadlineMs <= nowMs) return Arranged(Admission.Refuse(Refusal.DEADLINE_PASSED, 0), emptyList())
         val ticket = Ticket(arrival, nowMs, nextOrder++)
         if (running.size < limit && waiting.isEmpty()) {
-            start(ticket)
+            running += ticket
             return Arranged(Admission.Run(ticket), emptyList())
         }
         waiting += ticket
@@ -136,9 +134,6 @@
     /** Time after which a refused request may find room, in milliseconds. */
     fun retryAfterMs(): Int = (expectedWaitMs() * RETURN_FACTOR).toInt().coerceIn(MIN_RETURN_MS, MAX_RETURN_MS)
 
-    /** Mean service time of [route], in milliseconds. */
-    fun meanServiceMs(route: String): Double = times.meanMs(route)
-
     private fun hopeless(ticket: Ticket, waitMs: Double, nowMs: Long): Boolean {
         val arrival = ticket.arrival
         val late = nowMs + waitMs + times.meanMs(arrival.route) > arrival.deadlineMs
@@ -150,17 +145,12 @@
         val started = mutableListOf<Ticket>()
         while (running.size < limit) {
             val next = waiting.pollFirst() ?: break
-            start(next)
+            running += next
             started += next
         }
         return started
     }
 
-    private fun start(ticket: Ticket) {
-        ticket.running = true
-        running += ticket
-    }
-
     private fun workMs(): Double =
         running.sumOf { times.meanMs(it.arrival.route) } * HALF + waiting.sumOf { times.meanMs(it.arrival.route) }
 
--- a/daemon/src/main/kotlin/wigeonreel/control/ConfigKeeper.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ConfigKeeper.kt
@@ -119,7 +119,7 @@
         }
     }
 
-    /** After a lost call or a forgotten history the row itself is read again, and once more later in case that read was old. */
+    /** After a lost call or a forgotten history the row itself is read again. */
     private fun onFollowed(version: Long?) {
         following = false
         watchFrom = version ?: 0
