Tell the earlier steward when a daemon asks another; a leaving daemon is no steward

A daemon that moved to the next steward was counted by the earlier one for 1.5 s more, so both pools held the whole limit, and the leaving daemon, its own steward until the end, gave its callers all of it. The account sends eight times its rate, so any daemon can use up a pool.

Ruled out: the lowered limit itself (the break begins 3.5 s after the change and the old limit would allow more); tokens kept ahead (a demand of eight times the rate leaves none unused).

--- a/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
@@ -28,6 +28,11 @@
         return wanted.map { (account, tokens) -> grant(account, tokens, part, nowMs) }
     }
 
+    /** Stops counting [daemon], which asks another steward from now on. */
+    fun forget(daemon: String) {
+        heardAtMs -= daemon
+    }
+
     private fun grant(account: AccountConfig, tokens: Int, part: Double, nowMs: Long): TokenGrant {
         val rate = account.ratePerSecond * part
         val burst = account.burst * part
--- a/core/src/test/kotlin/wigeonreel/limit/TokenPoolTest.kt
+++ b/core/src/test/kotlin/wigeonreel/limit/TokenPoolTest.kt
@@ -73,6 +73,31 @@
         }
     }
 
+    /** Every daemon meets a hot account while daemons restart in turn, two stewards among them: KNOWN-RED's day 490715489818. */
+    @Test
+    fun `what all daemons admit in any window stays within rate and burst while the steward changes again and again`() {
+        for (seed in 1..20) {
+            val random = Random(seed)
+            val fleet = List(16) { Daemon("d$it", pool = TokenPool()) }
+            val delayMs = List(fleet.size) { if (it < 2) 1_400 else random.nextLong(300) }
+            var next = fleet[0].pool
+            val admitted = ArrayDeque<Long>()
+            for (nowMs in 0L..20_000L step 5) {
+                if (nowMs % 1_500 == 0L) next = TokenPool()
+                fleet.forEachIndexed { index, daemon ->
+                    if (nowMs % 1_500 == delayMs[index] / 5 * 5 && daemon.pool !== next) {
+                        daemon.pool.forget(daemon.id)
+                        daemon.pool = next
+                    }
+                    if (nowMs % 500 == index * 25L) daemon.report(fleet.size, nowMs)
+                    if (random.nextDouble() < (if (index < 2) 1.0 else 0.25) && daemon.admit(fleet.size, nowMs)) admitted += nowMs
+                }
+                while (admitted.isNotEmpty() && admitted.first() <= nowMs - 5_000) admitted.removeFirst()
+                expectThat(admitted.size).isLessThanOrEqualTo(660)
+            }
+        }
+    }
+
     private fun refusedShare(demandsPerSecond: List<Double>): Double {
         val random = Random(7)
         val pool = TokenPool()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -35,6 +35,7 @@
     private val stocks = HashMap<String, TokenStock>()
     private val pool = TokenPool()
     private val avoidedUntilMs = HashMap<String, Long>()
+    private var steward: Member? = null
 
     override fun start() {
         loop.scheduleAtFixedRate(::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS)
@@ -62,6 +63,10 @@
     /** Answers another daemon that asks for tokens. */
     fun onRequest(request: TokenRequest): TokenGrants {
         val view = state.view ?: return TokenGrants.getDefaultInstance()
+        if (request.leaves) {
+            pool.forget(request.daemon)
+            return TokenGrants.getDefaultInstance()
+        }
         val accounts = view.configuration.accounts
         val wanted = request.wantsList.mapNotNull { want -> accounts[want.account]?.let { it to want.tokens } }.toMap()
         val grants = pool.ask(request.daemon, wanted, dividingDaemons(view.knownDaemons, state.announcementsRead), clock.nowMs())
@@ -77,6 +82,7 @@
     private fun ask(wants: Map<String, Int>, onAnswer: () -> Unit) {
         val nowMs = clock.nowMs()
         val steward = state.view?.let { stewardOf(it, nowMs) } ?: return onAnswer()
+        changeTo(steward)
         val entries =
             wants.map { (account, tokens) ->
                 TokenWant
@@ -101,6 +107,21 @@
         }
     }
 
+    /** An earlier steward is told, so that this daemon's part of the limits does not count at two of them. */
+    private fun changeTo(next: Member) {
+        val earlier = steward
+        steward = next
+        if (earlier == null || earlier.id == next.id) return
+        if (earlier.id == selfId) return pool.forget(selfId)
+        val request =
+            TokenRequest
+                .newBuilder()
+                .setDaemon(selfId)
+                .setLeaves(true)
+                .build()
+        peers.call(earlier.address, ANSWER_MS, { it.takeTokens(request) }) { _, _ -> }
+    }
+
     private fun take(grants: TokenGrants) {
         val nowMs = clock.nowMs()
         grants.grantsList.forEach { stockOf(it.account).onGrant(TokenGrant(it.account, it.tokens, it.waitMs), nowMs) }
@@ -111,10 +132,11 @@
         onUnreachable(id)
     }
 
+    /** The least id among the daemons that stay; one that leaves is its own steward only when it is alone. */
     private fun stewardOf(view: FleetView, nowMs: Long): Member? =
         view.members
-            .filter { it.id == selfId || (it.state == MemberState.ALIVE && (avoidedUntilMs[it.id] ?: 0) <= nowMs) }
-            .minByOrNull { it.id }
+            .filter { if (it.id == selfId) !state.leaving else it.state == MemberState.ALIVE && (avoidedUntilMs[it.id] ?: 0) <= nowMs }
+            .minByOrNull { it.id } ?: view.member(selfId)
 
     private fun stockOf(account: String) = stocks.getOrPut(account) { TokenStock(clock.nowMs()) }
 
--- a/wire/src/main/java/wigeonreel/wire/TokenRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenRequest.java
@@ -121,6 +121,21 @@
     return wants_.get(index);
   }
 
+  public static final int LEAVES_FIELD_NUMBER = 3;
+  private boolean leaves_ = false;
+  /**
+   * <pre>
+   * The daemon asks another steward from now on.
+   * </pre>
+   *
+   * <code>bool leaves = 3;</code>
+   * @return The leaves.
+   */
+  @java.lang.Override
+  public boolean getLeaves() {
+    return leaves_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -141,6 +156,9 @@
     for (int i = 0; i < wants_.size(); i++) {
       output.writeMessage(2, wants_.get(i));
     }
+    if (leaves_ != false) {
+      output.writeBool(3, leaves_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -157,6 +175,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, wants_.get(i));
     }
+    if (leaves_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, leaves_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +198,8 @@
         .equals(other.getDaemon())) return false;
     if (!getWantsList()
         .equals(other.getWantsList())) return false;
+    if (getLeaves()
+        != other.getLeaves()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +217,9 @@
       hash = (37 * hash) + WANTS_FIELD_NUMBER;
       hash = (53 * hash) + getWantsList().hashCode();
     }
+    hash = (37 * hash) + LEAVES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeaves());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -332,6 +359,7 @@
         wantsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      leaves_ = false;
       return this;
     }
 
@@ -381,6 +409,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.daemon_ = daemon_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.leaves_ = leaves_;
+      }
     }
 
     @java.lang.Override
@@ -458,6 +489,9 @@
           }
         }
       }
+      if (other.getLeaves() != false) {
+        setLeaves(other.getLeaves());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -502,6 +536,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              leaves_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -830,6 +869,50 @@
       }
       return wantsBuilder_;
     }
+
+    private boolean leaves_ ;
+    /**
+     * <pre>
+     * The daemon asks another steward from now on.
+     * </pre>
+     *
+     * <code>bool leaves = 3;</code>
+     * @return The leaves.
+     */
+    @java.lang.Override
+    public boolean getLeaves() {
+      return leaves_;
+    }
+    /**
+     * <pre>
+     * The daemon asks another steward from now on.
+     * </pre>
+     *
+     * <code>bool leaves = 3;</code>
+     * @param value The leaves to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaves(boolean value) {
+
+      leaves_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The daemon asks another steward from now on.
+     * </pre>
+     *
+     * <code>bool leaves = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaves() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      leaves_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/TokenRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenRequestOrBuilder.java
@@ -43,4 +43,14 @@
    */
   wigeonreel.wire.TokenWantOrBuilder getWantsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The daemon asks another steward from now on.
+   * </pre>
+   *
+   * <code>bool leaves = 3;</code>
+   * @return The leaves.
+   */
+  boolean getLeaves();
 }
