--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -36,6 +36,7 @@
     private val pool = TokenPool()
     private val avoidedUntilMs = HashMap<String, Long>()
     private var steward: Member? = null
+    private var requests = 0L
 
     override fun start() {
         loop.scheduleAtFixedRate(::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS)
@@ -95,13 +96,14 @@
             TokenRequest
                 .newBuilder()
                 .setDaemon(selfId)
+                .setAttemptId(nextId())
                 .addAllWants(entries)
                 .build()
         if (steward.id == selfId) {
             take(onRequest(request))
             return onAnswer()
         }
-        peers.call(steward.address, ANSWER_MS, { it.takeTokens(request) }) { grants, _ ->
+        peers.takeTokens(steward.address, request, ANSWER_MS) { grants ->
             if (grants == null) avoid(steward.id) else take(grants)
             onAnswer()
         }
@@ -117,11 +119,14 @@
             TokenRequest
                 .newBuilder()
                 .setDaemon(selfId)
+                .setAttemptId(nextId())
                 .setLeaves(true)
                 .build()
-        peers.call(earlier.address, ANSWER_MS, { it.takeTokens(request) }) { _, _ -> }
+        peers.takeTokens(earlier.address, request, ANSWER_MS) { }
     }
 
+    private fun nextId() = "tokens-${++requests}"
+
     private fun take(grants: TokenGrants) {
         val nowMs = clock.nowMs()
         grants.grantsList.forEach { stockOf(it.account).onGrant(TokenGrant(it.account, it.tokens, it.waitMs), nowMs) }
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
@@ -14,6 +14,9 @@
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
+import wigeonreel.wire.RequestFrame
+import wigeonreel.wire.TokenGrants
+import wigeonreel.wire.TokenRequest
 import java.net.ConnectException
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -42,16 +45,14 @@
         timeoutMs: Long,
         onAnswer: (ForwardReply?, PeerFailure?) -> Unit,
     ): () -> Unit {
-        val known = links[address]
-        val link =
-            if (known != null &&
-                known.open
-            ) {
-                known
-            } else {
-                PeerLink(loop, PeerGrpc.newStub(channelTo(address)), ::failureOf) { onEnd(address, it) }.also { links[address] = it }
-            }
-        return link.forward(request, timeoutMs, onAnswer)
+        val frame = RequestFrame.newBuilder().setForward(request).build()
+        return linkTo(address).send(request.attemptId, frame, timeoutMs, onAnswer)
+    }
+
+    /** Asks the peer at [address] for tokens on the stream of forwarded requests; [onGrants] gets null when no answer comes. */
+    fun takeTokens(address: PeerAddress, request: TokenRequest, timeoutMs: Long, onGrants: (TokenGrants?) -> Unit) {
+        val frame = RequestFrame.newBuilder().setTokens(request).build()
+        linkTo(address).send(request.attemptId, frame, timeoutMs) { reply, _ -> onGrants(reply?.grants) }
     }
 
     /**
@@ -81,6 +82,10 @@
     /** Closes all connections. */
     fun close() = channels.values.forEach { it.shutdownNow() }
 
+    private fun linkTo(address: PeerAddress): PeerLink =
+        links[address]?.takeIf { it.open }
+            ?: PeerLink(loop, PeerGrpc.newStub(channelTo(address)), ::failureOf) { onEnd(address, it) }.also { links[address] = it }
+
     /** A broken link takes its channel along, so that the next request connects at once and not after a back-off. */
     private fun onEnd(address: PeerAddress, link: PeerLink) {
         if (links[address] !== link) return
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -89,9 +89,6 @@
 
     override fun borrow(request: BorrowRequest, responses: StreamObserver<BorrowReply>) = complete(responses, handler.borrow(request))
 
-    override fun takeTokens(request: TokenRequest, responses: StreamObserver<TokenGrants>) =
-        complete(responses, handler.takeTokens(request))
-
     override fun fetchConfig(request: FetchConfigRequest, responses: StreamObserver<ConfigDelta>) =
         complete(responses, handler.fetchConfig(request))
 
@@ -120,8 +117,8 @@
         when (frame.frameCase) {
             RequestFrame.FrameCase.FORWARD -> forward(frame.forward)
             RequestFrame.FrameCase.CANCEL_ATTEMPT_ID -> running.remove(frame.cancelAttemptId)?.invoke()
-            RequestFrame.FrameCase.PING ->
-                if (open && !responses.isCancelled) responses.onNext(ForwardReply.newBuilder().setPong(frame.ping).build())
+            RequestFrame.FrameCase.PING -> reply(ForwardReply.newBuilder().setPong(frame.ping).build())
+            RequestFrame.FrameCase.TOKENS -> reply(grantsFor(frame.tokens))
             RequestFrame.FrameCase.FRAME_NOT_SET, null -> Unit
         }
     }
@@ -139,11 +136,22 @@
             handler.forward(request) { reply ->
                 answered = true
                 running.remove(request.attemptId)
-                if (open && !responses.isCancelled) responses.onNext(reply)
+                reply(reply)
             }
         if (!answered) running[request.attemptId] = cancel
     }
 
+    private fun grantsFor(request: TokenRequest): ForwardReply =
+        ForwardReply
+            .newBuilder()
+            .setAttemptId(request.attemptId)
+            .setGrants(handler.takeTokens(request))
+            .build()
+
+    private fun reply(reply: ForwardReply) {
+        if (open && !responses.isCancelled) responses.onNext(reply)
+    }
+
     private fun end() {
         open = false
         val left = running.values.toList()
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerLink.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerLink.kt
@@ -3,14 +3,13 @@
 import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoopGroup
 import wigeonreel.wire.ForwardReply
-import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
 import wigeonreel.wire.RequestFrame
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
- * One long stream of forwarded requests to a peer.
+ * One long stream of requests to a peer: forwarded ones and those for tokens.
  *
  * Replies are matched by attempt id, so late, doubled and reordered replies reach the right request or none. When the
  * stream breaks, every open request fails; a new link is made for the next one.
@@ -38,13 +37,13 @@
 
     private val requests: StreamObserver<RequestFrame> = stub.exchange(Replies())
 
-    fun forward(request: ForwardRequest, timeoutMs: Long, onAnswer: (ForwardReply?, PeerFailure?) -> Unit): () -> Unit {
-        val id = request.attemptId
+    /** Sends [frame], whose reply carries [id]; [onAnswer] gets the reply or the failure once. Returns how to cancel it. */
+    fun send(id: String, frame: RequestFrame, timeoutMs: Long, onAnswer: (ForwardReply?, PeerFailure?) -> Unit): () -> Unit {
         val timer = loop.schedule({ giveUp(id) }, timeoutMs, TimeUnit.MILLISECONDS)
         if (pending.isEmpty()) heardNs = System.nanoTime()
         pending[id] = Pending(onAnswer, timer)
         if (probe == null) probe = loop.schedule(::checkSilence, PING_MS, TimeUnit.MILLISECONDS)
-        requests.onNext(RequestFrame.newBuilder().setForward(request).build())
+        requests.onNext(frame)
         return { giveUp(id) }
     }
 
--- a/wire/src/main/java/wigeonreel/wire/ForwardReply.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReply.java
@@ -44,6 +44,7 @@
             wigeonreel.wire.ForwardReply.class, wigeonreel.wire.ForwardReply.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ATTEMPT_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object attemptId_ = "";
@@ -288,6 +289,44 @@
     return pong_;
   }
 
+  public static final int GRANTS_FIELD_NUMBER = 14;
+  private wigeonreel.wire.TokenGrants grants_;
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   * @return Whether the grants field is set.
+   */
+  @java.lang.Override
+  public boolean hasGrants() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   * @return The grants.
+   */
+  @java.lang.Override
+  public wigeonreel.wire.TokenGrants getGrants() {
+    return grants_ == null ? wigeonreel.wire.TokenGrants.getDefaultInstance() : grants_;
+  }
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.TokenGrantsOrBuilder getGrantsOrBuilder() {
+    return grants_ == null ? wigeonreel.wire.TokenGrants.getDefaultInstance() : grants_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -341,6 +380,9 @@
     if (pong_ != 0L) {
       output.writeUInt64(13, pong_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(14, getGrants());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -400,6 +442,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(13, pong_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, getGrants());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -440,6 +486,11 @@
         != other.getWaitMs()) return false;
     if (getPong()
         != other.getPong()) return false;
+    if (hasGrants() != other.hasGrants()) return false;
+    if (hasGrants()) {
+      if (!getGrants()
+          .equals(other.getGrants())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -480,6 +531,10 @@
     hash = (37 * hash) + PONG_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getPong());
+    if (hasGrants()) {
+      hash = (37 * hash) + GRANTS_FIELD_NUMBER;
+      hash = (53 * hash) + getGrants().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -599,13 +654,20 @@
 
     // Construct using wigeonreel.wire.ForwardReply.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessageV3.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessageV3
+              .alwaysUseFieldBuilders) {
+        getHeadersFieldBuilder();
+        getGrantsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -630,6 +692,11 @@
       limit_ = 0;
       waitMs_ = 0;
       pong_ = 0L;
+      grants_ = null;
+      if (grantsBuilder_ != null) {
+        grantsBuilder_.dispose();
+        grantsBuilder_ = null;
+      }
       return this;
     }
 
@@ -712,6 +779,14 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.pong_ = pong_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.grants_ = grantsBuilder_ == null
+            ? grants_
+            : grantsBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -824,6 +899,9 @@
       if (other.getPong() != 0L) {
         setPong(other.getPong());
       }
+      if (other.hasGrants()) {
+        mergeGrants(other.getGrants());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -923,6 +1001,13 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              input.readMessage(
+                  getGrantsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1688,6 +1773,163 @@
       onChanged();
       return this;
     }
+
+    private wigeonreel.wire.TokenGrants grants_;
+    private com.google.protobuf.SingleFieldBuilderV3<
+        wigeonreel.wire.TokenGrants, wigeonreel.wire.TokenGrants.Builder, wigeonreel.wire.TokenGrantsOrBuilder> grantsBuilder_;
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     * @return Whether the grants field is set.
+     */
+    public boolean hasGrants() {
+      return ((bitField0_ & 0x00002000) != 0);
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     * @return The grants.
+     */
+    public wigeonreel.wire.TokenGrants getGrants() {
+      if (grantsBuilder_ == null) {
+        return grants_ == null ? wigeonreel.wire.TokenGrants.getDefaultInstance() : grants_;
+      } else {
+        return grantsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public Builder setGrants(wigeonreel.wire.TokenGrants value) {
+      if (grantsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        grants_ = value;
+      } else {
+        grantsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public Builder setGrants(
+        wigeonreel.wire.TokenGrants.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        grants_ = builderForValue.build();
+      } else {
+        grantsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public Builder mergeGrants(wigeonreel.wire.TokenGrants value) {
+      if (grantsBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0) &&
+          grants_ != null &&
+          grants_ != wigeonreel.wire.TokenGrants.getDefaultInstance()) {
+          getGrantsBuilder().mergeFrom(value);
+        } else {
+          grants_ = value;
+        }
+      } else {
+        grantsBuilder_.mergeFrom(value);
+      }
+      if (grants_ != null) {
+        bitField0_ |= 0x00002000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public Builder clearGrants() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      grants_ = null;
+      if (grantsBuilder_ != null) {
+        grantsBuilder_.dispose();
+        grantsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public wigeonreel.wire.TokenGrants.Builder getGrantsBuilder() {
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return getGrantsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    public wigeonreel.wire.TokenGrantsOrBuilder getGrantsOrBuilder() {
+      if (grantsBuilder_ != null) {
+        return grantsBuilder_.getMessageOrBuilder();
+      } else {
+        return grants_ == null ?
+            wigeonreel.wire.TokenGrants.getDefaultInstance() : grants_;
+      }
+    }
+    /**
+     * <pre>
+     * Answer to a request for tokens.
+     * </pre>
+     *
+     * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        wigeonreel.wire.TokenGrants, wigeonreel.wire.TokenGrants.Builder, wigeonreel.wire.TokenGrantsOrBuilder> 
+        getGrantsFieldBuilder() {
+      if (grantsBuilder_ == null) {
+        grantsBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            wigeonreel.wire.TokenGrants, wigeonreel.wire.TokenGrants.Builder, wigeonreel.wire.TokenGrantsOrBuilder>(
+                getGrants(),
+                getParentForChildren(),
+                isClean());
+        grants_ = null;
+      }
+      return grantsBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
@@ -128,4 +128,31 @@
    * @return The pong.
    */
   long getPong();
+
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   * @return Whether the grants field is set.
+   */
+  boolean hasGrants();
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   * @return The grants.
+   */
+  wigeonreel.wire.TokenGrants getGrants();
+  /**
+   * <pre>
+   * Answer to a request for tokens.
+   * </pre>
+   *
+   * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
+   */
+  wigeonreel.wire.TokenGrantsOrBuilder getGrantsOrBuilder();
 }
--- a/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerGrpc.java
@@ -173,37 +173,6 @@
     return getOfferConfigMethod;
   }
 
-  private static volatile io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest,
-      wigeonreel.wire.TokenGrants> getTakeTokensMethod;
-
-  @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "TakeTokens",
-      requestType = wigeonreel.wire.TokenRequest.class,
-      responseType = wigeonreel.wire.TokenGrants.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
-  public static io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest,
-      wigeonreel.wire.TokenGrants> getTakeTokensMethod() {
-    io.grpc.MethodDescriptor<wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenGrants> getTakeTokensMethod;
-    if ((getTakeTokensMethod = PeerGrpc.getTakeTokensMethod) == null) {
-      synchronized (PeerGrpc.class) {
-        if ((getTakeTokensMethod = PeerGrpc.getTakeTokensMethod) == null) {
-          PeerGrpc.getTakeTokensMethod = getTakeTokensMethod =
-              io.grpc.MethodDescriptor.<wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenGrants>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "TakeTokens"))
-              .setSampledToLocalTracing(true)
-              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  wigeonreel.wire.TokenRequest.getDefaultInstance()))
-              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  wigeonreel.wire.TokenGrants.getDefaultInstance()))
-              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("TakeTokens"))
-              .build();
-        }
-      }
-    }
-    return getTakeTokensMethod;
-  }
-
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -305,16 +274,6 @@
         io.grpc.stub.StreamObserver<wigeonreel.wire.ConfigReceipt> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getOfferConfigMethod(), responseObserver);
     }
-
-    /**
-     * <pre>
-     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
-     * </pre>
-     */
-    default void takeTokens(wigeonreel.wire.TokenRequest request,
-        io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getTakeTokensMethod(), responseObserver);
-    }
   }
 
   /**
@@ -405,17 +364,6 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getOfferConfigMethod(), getCallOptions()), request, responseObserver);
     }
-
-    /**
-     * <pre>
-     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
-     * </pre>
-     */
-    public void takeTokens(wigeonreel.wire.TokenRequest request,
-        io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants> responseObserver) {
-      io.grpc.stub.ClientCalls.asyncUnaryCall(
-          getChannel().newCall(getTakeTokensMethod(), getCallOptions()), request, responseObserver);
-    }
   }
 
   /**
@@ -476,16 +424,6 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getOfferConfigMethod(), getCallOptions(), request);
     }
-
-    /**
-     * <pre>
-     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
-     * </pre>
-     */
-    public wigeonreel.wire.TokenGrants takeTokens(wigeonreel.wire.TokenRequest request) {
-      return io.grpc.stub.ClientCalls.blockingUnaryCall(
-          getChannel(), getTakeTokensMethod(), getCallOptions(), request);
-    }
   }
 
   /**
@@ -550,25 +488,13 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getOfferConfigMethod(), getCallOptions()), request);
     }
-
-    /**
-     * <pre>
-     * Takes tokens of client accounts from the steward's pool; also tells the steward that the daemon counts with it.
-     * </pre>
-     */
-    public com.google.common.util.concurrent.ListenableFuture<wigeonreel.wire.TokenGrants> takeTokens(
-        wigeonreel.wire.TokenRequest request) {
-      return io.grpc.stub.ClientCalls.futureUnaryCall(
-          getChannel().newCall(getTakeTokensMethod(), getCallOptions()), request);
-    }
   }
 
   private static final int METHODID_BLOCK = 0;
   private static final int METHODID_BORROW = 1;
   private static final int METHODID_FETCH_CONFIG = 2;
   private static final int METHODID_OFFER_CONFIG = 3;
-  private static final int METHODID_TAKE_TOKENS = 4;
-  private static final int METHODID_EXCHANGE = 5;
+  private static final int METHODID_EXCHANGE = 4;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -603,10 +529,6 @@
           serviceImpl.offerConfig((wigeonreel.wire.ConfigDelta) request,
               (io.grpc.stub.StreamObserver<wigeonreel.wire.ConfigReceipt>) responseObserver);
           break;
-        case METHODID_TAKE_TOKENS:
-          serviceImpl.takeTokens((wigeonreel.wire.TokenRequest) request,
-              (io.grpc.stub.StreamObserver<wigeonreel.wire.TokenGrants>) responseObserver);
-          break;
         default:
           throw new AssertionError();
       }
@@ -663,13 +585,6 @@
               wigeonreel.wire.ConfigDelta,
               wigeonreel.wire.ConfigReceipt>(
                 service, METHODID_OFFER_CONFIG)))
-        .addMethod(
-          getTakeTokensMethod(),
-          io.grpc.stub.ServerCalls.asyncUnaryCall(
-            new MethodHandlers<
-              wigeonreel.wire.TokenRequest,
-              wigeonreel.wire.TokenGrants>(
-                service, METHODID_TAKE_TOKENS)))
         .build();
   }
 
@@ -723,7 +638,6 @@
               .addMethod(getBorrowMethod())
               .addMethod(getFetchConfigMethod())
               .addMethod(getOfferConfigMethod())
-              .addMethod(getTakeTokensMethod())
               .build();
         }
       }
--- a/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
@@ -119,85 +119,86 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017wigeonreel.wire\"Y\n\014TokenRe" +
+      "\n\npeer.proto\022\017wigeonreel.wire\"m\n\014TokenRe" +
       "quest\022\016\n\006daemon\030\001 \001(\t\022)\n\005wants\030\002 \003(\0132\032.w" +
       "igeonreel.wire.TokenWant\022\016\n\006leaves\030\003 \001(\010" +
-      "\",\n\tTokenWant\022\017\n\007account\030\001 \001(\t\022\016\n\006tokens" +
-      "\030\002 \001(\r\":\n\013TokenGrants\022+\n\006grants\030\001 \003(\0132\033." +
-      "wigeonreel.wire.TokenGrant\">\n\nTokenGrant" +
-      "\022\017\n\007account\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\022\017\n\007wai" +
-      "t_ms\030\003 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\t\"x\n\014RequestFrame\0222\n\007forward\030\001 \001" +
-      "(\0132\037.wigeonreel.wire.ForwardRequestH\000\022\033\n" +
-      "\021cancel_attempt_id\030\002 \001(\tH\000\022\016\n\004ping\030\003 \001(\004" +
-      "H\000B\007\n\005frame\"\375\002\n\016ForwardRequest\022\022\n\nattemp" +
-      "t_id\030\001 \001(\t\022\017\n\007root_id\030\002 \001(\t\022\017\n\007service\030\003" +
-      " \001(\t\022\017\n\007account\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\013\n" +
-      "\003uri\030\006 \001(\t\022(\n\007headers\030\007 \003(\0132\027.wigeonreel" +
-      ".wire.Header\022\014\n\004body\030\010 \001(\014\022\014\n\004rank\030\t \001(\r" +
-      "\022\r\n\005depth\030\n \001(\r\022\022\n\ntimeout_ms\030\013 \001(\r\022\024\n\014r" +
-      "etry_budget\030\014 \001(\r\022\027\n\017idempotency_key\030\r \001" +
-      "(\t\022\022\n\nsent_at_ms\030\016 \001(\003\022\016\n\006weight\030\017 \001(\001\022\020" +
-      "\n\010priority\030\020 \001(\r\022\024\n\014at_most_once\030\021 \001(\010\022\024" +
-      "\n\014objective_ms\030\022 \001(\r\022\r\n\005route\030\023 \001(\t\"\243\002\n\014" +
-      "ForwardReply\022\022\n\nattempt_id\030\001 \001(\t\022)\n\007outc" +
-      "ome\030\002 \001(\0162\030.wigeonreel.wire.Outcome\022\016\n\006s" +
-      "tatus\030\003 \001(\r\022(\n\007headers\030\004 \003(\0132\027.wigeonree" +
-      "l.wire.Header\022\014\n\004body\030\005 \001(\014\022\017\n\007refusal\030\006" +
-      " \001(\t\022\026\n\016retry_after_ms\030\007 \001(\r\022\025\n\rretries_" +
-      "spent\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_flight\030\n " +
-      "\001(\r\022\r\n\005limit\030\013 \001(\r\022\017\n\007wait_ms\030\014 \001(\r\022\014\n\004p" +
-      "ong\030\r \001(\004\"W\n\014BlockRequest\022\017\n\007service\030\001 \001" +
-      "(\t\022\017\n\007account\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\030\n\020home" +
-      "_set_version\030\004 \001(\003\"h\n\nBlockReply\022*\n\005stat" +
-      "e\030\001 \001(\0162\033.wigeonreel.wire.BlockState\022.\n\007" +
-      "outcome\030\002 \001(\0132\035.wigeonreel.wire.ForwardR" +
-      "eply\"\201\001\n\rBorrowRequest\022\017\n\007account\030\001 \001(\t\022" +
-      "\020\n\010borrower\030\002 \001(\t\022\017\n\007loan_id\030\003 \001(\004\022\016\n\006to" +
-      "kens\030\004 \001(\r\022,\n\007reports\030\005 \003(\0132\033.wigeonreel" +
-      ".wire.LoanReport\"<\n\nLoanReport\022\017\n\007loan_i" +
-      "d\030\001 \001(\004\022\r\n\005spent\030\002 \001(\r\022\016\n\006closed\030\003 \001(\010\"?" +
-      "\n\013BorrowReply\022\017\n\007loan_id\030\001 \001(\004\022\016\n\006tokens" +
-      "\030\002 \001(\r\022\017\n\007wait_ms\030\003 \001(\r\"+\n\022FetchConfigRe" +
-      "quest\022\025\n\rafter_version\030\001 \001(\003\"f\n\013ConfigDe" +
-      "lta\022\024\n\014from_version\030\001 \001(\003\022\022\n\nto_version\030" +
-      "\002 \001(\003\022-\n\007entries\030\003 \003(\0132\034.wigeonreel.wire" +
-      ".ConfigEntry\"L\n\013ConfigEntry\022\014\n\004name\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\t\022\017\n\007version\030\003 \001(\003\022\017\n\007rem" +
-      "oved\030\004 \001(\010\" \n\rConfigReceipt\022\017\n\007version\030\001" +
-      " \001(\003\"\365\002\n\006Gossip\022*\n\004kind\030\001 \001(\0162\034.wigeonre" +
-      "el.wire.Gossip.Kind\022\020\n\010sequence\030\002 \001(\004\022\'\n" +
-      "\006sender\030\003 \001(\0132\027.wigeonreel.wire.Member\022\016" +
-      "\n\006target\030\004 \001(\t\022(\n\007updates\030\005 \003(\0132\027.wigeon" +
-      "reel.wire.Member\022\026\n\016config_version\030\006 \001(\003" +
-      "\022,\n\006config\030\007 \001(\0132\034.wigeonreel.wire.Confi" +
-      "gDelta\022\016\n\006digest\030\010 \001(\006\022\026\n\016bucket_digests" +
-      "\030\t \003(\006\022\033\n\023config_proven_at_ms\030\n \001(\003\"?\n\004K" +
-      "ind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n\014PING_REQUEST\020\002" +
-      "\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n\006Member\022\n\n\002id\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022+\n\005state\030\003 \001(\0162" +
-      "\034.wigeonreel.wire.MemberState\022\014\n\004host\030\004 " +
-      "\001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016\n\006region\030\006 \001(\t\022\026" +
-      "\n\016failure_domain\030\007 \001(\t\022\017\n\007service\030\010 \001(\t\022" +
-      "\r\n\005slots\030\t \001(\r\022\r\n\005ready\030\n \001(\010\022\020\n\010revisio" +
-      "n\030\013 \001(\r*1\n\007Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007NOT_" +
-      "RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBlockState\022\013\n\007BLOC" +
-      "KED\020\000\022\020\n\014SEEN_RUNNING\020\001\022\r\n\tSEEN_DONE\020\002\022\017" +
-      "\n\013RECORD_LOST\020\003\022\t\n\005SPENT\020\004*F\n\013MemberStat" +
-      "e\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002\022\013\n\007L" +
-      "EAVING\020\003\022\010\n\004LEFT\020\0042\313\003\n\004Peer\022L\n\010Exchange\022" +
-      "\035.wigeonreel.wire.RequestFrame\032\035.wigeonr" +
-      "eel.wire.ForwardReply(\0010\001\022C\n\005Block\022\035.wig" +
-      "eonreel.wire.BlockRequest\032\033.wigeonreel.w" +
-      "ire.BlockReply\022F\n\006Borrow\022\036.wigeonreel.wi" +
-      "re.BorrowRequest\032\034.wigeonreel.wire.Borro" +
-      "wReply\022P\n\013FetchConfig\022#.wigeonreel.wire." +
-      "FetchConfigRequest\032\034.wigeonreel.wire.Con" +
-      "figDelta\022K\n\013OfferConfig\022\034.wigeonreel.wir" +
-      "e.ConfigDelta\032\036.wigeonreel.wire.ConfigRe" +
-      "ceipt\022I\n\nTakeTokens\022\035.wigeonreel.wire.To" +
-      "kenRequest\032\034.wigeonreel.wire.TokenGrants" +
-      "B\023\n\017wigeonreel.wireP\001b\006proto3"
+      "\022\022\n\nattempt_id\030\004 \001(\t\",\n\tTokenWant\022\017\n\007acc" +
+      "ount\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\":\n\013TokenGrant" +
+      "s\022+\n\006grants\030\001 \003(\0132\033.wigeonreel.wire.Toke" +
+      "nGrant\">\n\nTokenGrant\022\017\n\007account\030\001 \001(\t\022\016\n" +
+      "\006tokens\030\002 \001(\r\022\017\n\007wait_ms\030\003 \001(\r\"%\n\006Header" +
+      "\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\251\001\n\014Reques" +
+      "tFrame\0222\n\007forward\030\001 \001(\0132\037.wigeonreel.wir" +
+      "e.ForwardRequestH\000\022\033\n\021cancel_attempt_id\030" +
+      "\002 \001(\tH\000\022\016\n\004ping\030\003 \001(\004H\000\022/\n\006tokens\030\004 \001(\0132" +
+      "\035.wigeonreel.wire.TokenRequestH\000B\007\n\005fram" +
+      "e\"\375\002\n\016ForwardRequest\022\022\n\nattempt_id\030\001 \001(\t" +
+      "\022\017\n\007root_id\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007ac" +
+      "count\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\013\n\003uri\030\006 \001(\t" +
+      "\022(\n\007headers\030\007 \003(\0132\027.wigeonreel.wire.Head" +
+      "er\022\014\n\004body\030\010 \001(\014\022\014\n\004rank\030\t \001(\r\022\r\n\005depth\030" +
+      "\n \001(\r\022\022\n\ntimeout_ms\030\013 \001(\r\022\024\n\014retry_budge" +
+      "t\030\014 \001(\r\022\027\n\017idempotency_key\030\r \001(\t\022\022\n\nsent" +
+      "_at_ms\030\016 \001(\003\022\016\n\006weight\030\017 \001(\001\022\020\n\010priority" +
+      "\030\020 \001(\r\022\024\n\014at_most_once\030\021 \001(\010\022\024\n\014objectiv" +
+      "e_ms\030\022 \001(\r\022\r\n\005route\030\023 \001(\t\"\321\002\n\014ForwardRep" +
+      "ly\022\022\n\nattempt_id\030\001 \001(\t\022)\n\007outcome\030\002 \001(\0162" +
+      "\030.wigeonreel.wire.Outcome\022\016\n\006status\030\003 \001(" +
+      "\r\022(\n\007headers\030\004 \003(\0132\027.wigeonreel.wire.Hea" +
+      "der\022\014\n\004body\030\005 \001(\014\022\017\n\007refusal\030\006 \001(\t\022\026\n\016re" +
+      "try_after_ms\030\007 \001(\r\022\025\n\rretries_spent\030\010 \001(" +
+      "\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\022\r\n\005lim" +
+      "it\030\013 \001(\r\022\017\n\007wait_ms\030\014 \001(\r\022\014\n\004pong\030\r \001(\004\022" +
+      ",\n\006grants\030\016 \001(\0132\034.wigeonreel.wire.TokenG" +
+      "rants\"W\n\014BlockRequest\022\017\n\007service\030\001 \001(\t\022\017" +
+      "\n\007account\030\002 \001(\t\022\013\n\003key\030\003 \001(\t\022\030\n\020home_set" +
+      "_version\030\004 \001(\003\"h\n\nBlockReply\022*\n\005state\030\001 " +
+      "\001(\0162\033.wigeonreel.wire.BlockState\022.\n\007outc" +
+      "ome\030\002 \001(\0132\035.wigeonreel.wire.ForwardReply" +
+      "\"\201\001\n\rBorrowRequest\022\017\n\007account\030\001 \001(\t\022\020\n\010b" +
+      "orrower\030\002 \001(\t\022\017\n\007loan_id\030\003 \001(\004\022\016\n\006tokens" +
+      "\030\004 \001(\r\022,\n\007reports\030\005 \003(\0132\033.wigeonreel.wir" +
+      "e.LoanReport\"<\n\nLoanReport\022\017\n\007loan_id\030\001 " +
+      "\001(\004\022\r\n\005spent\030\002 \001(\r\022\016\n\006closed\030\003 \001(\010\"?\n\013Bo" +
+      "rrowReply\022\017\n\007loan_id\030\001 \001(\004\022\016\n\006tokens\030\002 \001" +
+      "(\r\022\017\n\007wait_ms\030\003 \001(\r\"+\n\022FetchConfigReques" +
+      "t\022\025\n\rafter_version\030\001 \001(\003\"f\n\013ConfigDelta\022" +
+      "\024\n\014from_version\030\001 \001(\003\022\022\n\nto_version\030\002 \001(" +
+      "\003\022-\n\007entries\030\003 \003(\0132\034.wigeonreel.wire.Con" +
+      "figEntry\"L\n\013ConfigEntry\022\014\n\004name\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\t\022\017\n\007version\030\003 \001(\003\022\017\n\007removed" +
+      "\030\004 \001(\010\" \n\rConfigReceipt\022\017\n\007version\030\001 \001(\003" +
+      "\"\365\002\n\006Gossip\022*\n\004kind\030\001 \001(\0162\034.wigeonreel.w" +
+      "ire.Gossip.Kind\022\020\n\010sequence\030\002 \001(\004\022\'\n\006sen" +
+      "der\030\003 \001(\0132\027.wigeonreel.wire.Member\022\016\n\006ta" +
+      "rget\030\004 \001(\t\022(\n\007updates\030\005 \003(\0132\027.wigeonreel" +
+      ".wire.Member\022\026\n\016config_version\030\006 \001(\003\022,\n\006" +
+      "config\030\007 \001(\0132\034.wigeonreel.wire.ConfigDel" +
+      "ta\022\016\n\006digest\030\010 \001(\006\022\026\n\016bucket_digests\030\t \003" +
+      "(\006\022\033\n\023config_proven_at_ms\030\n \001(\003\"?\n\004Kind\022" +
+      "\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n\014PING_REQUEST\020\002\022\010\n\004" +
+      "NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n\006Member\022\n\n\002id\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\004\022+\n\005state\030\003 \001(\0162\034.wi" +
+      "geonreel.wire.MemberState\022\014\n\004host\030\004 \001(\t\022" +
+      "\021\n\tpeer_port\030\005 \001(\r\022\016\n\006region\030\006 \001(\t\022\026\n\016fa" +
+      "ilure_domain\030\007 \001(\t\022\017\n\007service\030\010 \001(\t\022\r\n\005s" +
+      "lots\030\t \001(\r\022\r\n\005ready\030\n \001(\010\022\020\n\010revision\030\013 " +
+      "\001(\r*1\n\007Outcome\022\014\n\010ANSWERED\020\000\022\013\n\007NOT_RUN\020" +
+      "\001\022\013\n\007UNKNOWN\020\002*V\n\nBlockState\022\013\n\007BLOCKED\020" +
+      "\000\022\020\n\014SEEN_RUNNING\020\001\022\r\n\tSEEN_DONE\020\002\022\017\n\013RE" +
+      "CORD_LOST\020\003\022\t\n\005SPENT\020\004*F\n\013MemberState\022\t\n" +
+      "\005ALIVE\020\000\022\013\n\007SUSPECT\020\001\022\010\n\004DEAD\020\002\022\013\n\007LEAVI" +
+      "NG\020\003\022\010\n\004LEFT\020\0042\200\003\n\004Peer\022L\n\010Exchange\022\035.wi" +
+      "geonreel.wire.RequestFrame\032\035.wigeonreel." +
+      "wire.ForwardReply(\0010\001\022C\n\005Block\022\035.wigeonr" +
+      "eel.wire.BlockRequest\032\033.wigeonreel.wire." +
+      "BlockReply\022F\n\006Borrow\022\036.wigeonreel.wire.B" +
+      "orrowRequest\032\034.wigeonreel.wire.BorrowRep" +
+      "ly\022P\n\013FetchConfig\022#.wigeonreel.wire.Fetc" +
+      "hConfigRequest\032\034.wigeonreel.wire.ConfigD" +
+      "elta\022K\n\013OfferConfig\022\034.wigeonreel.wire.Co" +
+      "nfigDelta\032\036.wigeonreel.wire.ConfigReceip" +
+      "tB\023\n\017wigeonreel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -208,7 +209,7 @@
     internal_static_wigeonreel_wire_TokenRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_TokenRequest_descriptor,
-        new java.lang.String[] { "Daemon", "Wants", "Leaves", });
+        new java.lang.String[] { "Daemon", "Wants", "Leaves", "AttemptId", });
     internal_static_wigeonreel_wire_TokenWant_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_wigeonreel_wire_TokenWant_fieldAccessorTable = new
@@ -238,7 +239,7 @@
     internal_static_wigeonreel_wire_RequestFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_RequestFrame_descriptor,
-        new java.lang.String[] { "Forward", "CancelAttemptId", "Ping", "Frame", });
+        new java.lang.String[] { "Forward", "CancelAttemptId", "Ping", "Tokens", "Frame", });
     internal_static_wigeonreel_wire_ForwardRequest_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_wigeonreel_wire_ForwardRequest_fieldAccessorTable = new
@@ -250,7 +251,7 @@
     internal_static_wigeonreel_wire_ForwardReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ForwardReply_descriptor,
-        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", "WaitMs", "Pong", });
+        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", "WaitMs", "Pong", "Grants", });
     internal_static_wigeonreel_wire_BlockRequest_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_wigeonreel_wire_BlockRequest_fieldAccessorTable = new
--- a/wire/src/main/java/wigeonreel/wire/RequestFrame.java
+++ b/wire/src/main/java/wigeonreel/wire/RequestFrame.java
@@ -48,6 +48,7 @@
     FORWARD(1),
     CANCEL_ATTEMPT_ID(2),
     PING(3),
+    TOKENS(4),
     FRAME_NOT_SET(0);
     private final int value;
     private FrameCase(int value) {
@@ -68,6 +69,7 @@
         case 1: return FORWARD;
         case 2: return CANCEL_ATTEMPT_ID;
         case 3: return PING;
+        case 4: return TOKENS;
         case 0: return FRAME_NOT_SET;
         default: return null;
       }
@@ -207,6 +209,37 @@
     return 0L;
   }
 
+  public static final int TOKENS_FIELD_NUMBER = 4;
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   * @return Whether the tokens field is set.
+   */
+  @java.lang.Override
+  public boolean hasTokens() {
+    return frameCase_ == 4;
+  }
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public wigeonreel.wire.TokenRequest getTokens() {
+    if (frameCase_ == 4) {
+       return (wigeonreel.wire.TokenRequest) frame_;
+    }
+    return wigeonreel.wire.TokenRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.TokenRequestOrBuilder getTokensOrBuilder() {
+    if (frameCase_ == 4) {
+       return (wigeonreel.wire.TokenRequest) frame_;
+    }
+    return wigeonreel.wire.TokenRequest.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -231,6 +264,9 @@
       output.writeUInt64(
           3, (long)((java.lang.Long) frame_));
     }
+    if (frameCase_ == 4) {
+      output.writeMessage(4, (wigeonreel.wire.TokenRequest) frame_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -252,6 +288,10 @@
         .computeUInt64Size(
             3, (long)((java.lang.Long) frame_));
     }
+    if (frameCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, (wigeonreel.wire.TokenRequest) frame_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -281,6 +321,10 @@
         if (getPing()
             != other.getPing()) return false;
         break;
+      case 4:
+        if (!getTokens()
+            .equals(other.getTokens())) return false;
+        break;
       case 0:
       default:
     }
@@ -309,6 +353,10 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
             getPing());
         break;
+      case 4:
+        hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+        hash = (53 * hash) + getTokens().hashCode();
+        break;
       case 0:
       default:
     }
@@ -446,6 +494,9 @@
       if (forwardBuilder_ != null) {
         forwardBuilder_.clear();
       }
+      if (tokensBuilder_ != null) {
+        tokensBuilder_.clear();
+      }
       frameCase_ = 0;
       frame_ = null;
       return this;
@@ -491,6 +542,10 @@
           forwardBuilder_ != null) {
         result.frame_ = forwardBuilder_.build();
       }
+      if (frameCase_ == 4 &&
+          tokensBuilder_ != null) {
+        result.frame_ = tokensBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -552,6 +607,10 @@
           setPing(other.getPing());
           break;
         }
+        case TOKENS: {
+          mergeTokens(other.getTokens());
+          break;
+        }
         case FRAME_NOT_SET: {
           break;
         }
@@ -600,6 +659,13 @@
               frameCase_ = 3;
               break;
             } // case 24
+            case 34: {
+              input.readMessage(
+                  getTokensFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              frameCase_ = 4;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -948,6 +1014,148 @@
       }
       return this;
     }
+
+    private com.google.protobuf.SingleFieldBuilderV3<
+        wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenRequest.Builder, wigeonreel.wire.TokenRequestOrBuilder> tokensBuilder_;
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     * @return Whether the tokens field is set.
+     */
+    @java.lang.Override
+    public boolean hasTokens() {
+      return frameCase_ == 4;
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public wigeonreel.wire.TokenRequest getTokens() {
+      if (tokensBuilder_ == null) {
+        if (frameCase_ == 4) {
+          return (wigeonreel.wire.TokenRequest) frame_;
+        }
+        return wigeonreel.wire.TokenRequest.getDefaultInstance();
+      } else {
+        if (frameCase_ == 4) {
+          return tokensBuilder_.getMessage();
+        }
+        return wigeonreel.wire.TokenRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    public Builder setTokens(wigeonreel.wire.TokenRequest value) {
+      if (tokensBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        frame_ = value;
+        onChanged();
+      } else {
+        tokensBuilder_.setMessage(value);
+      }
+      frameCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    public Builder setTokens(
+        wigeonreel.wire.TokenRequest.Builder builderForValue) {
+      if (tokensBuilder_ == null) {
+        frame_ = builderForValue.build();
+        onChanged();
+      } else {
+        tokensBuilder_.setMessage(builderForValue.build());
+      }
+      frameCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    public Builder mergeTokens(wigeonreel.wire.TokenRequest value) {
+      if (tokensBuilder_ == null) {
+        if (frameCase_ == 4 &&
+            frame_ != wigeonreel.wire.TokenRequest.getDefaultInstance()) {
+          frame_ = wigeonreel.wire.TokenRequest.newBuilder((wigeonreel.wire.TokenRequest) frame_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          frame_ = value;
+        }
+        onChanged();
+      } else {
+        if (frameCase_ == 4) {
+          tokensBuilder_.mergeFrom(value);
+        } else {
+          tokensBuilder_.setMessage(value);
+        }
+      }
+      frameCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    public Builder clearTokens() {
+      if (tokensBuilder_ == null) {
+        if (frameCase_ == 4) {
+          frameCase_ = 0;
+          frame_ = null;
+          onChanged();
+        }
+      } else {
+        if (frameCase_ == 4) {
+          frameCase_ = 0;
+          frame_ = null;
+        }
+        tokensBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    public wigeonreel.wire.TokenRequest.Builder getTokensBuilder() {
+      return getTokensFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    @java.lang.Override
+    public wigeonreel.wire.TokenRequestOrBuilder getTokensOrBuilder() {
+      if ((frameCase_ == 4) && (tokensBuilder_ != null)) {
+        return tokensBuilder_.getMessageOrBuilder();
+      } else {
+        if (frameCase_ == 4) {
+          return (wigeonreel.wire.TokenRequest) frame_;
+        }
+        return wigeonreel.wire.TokenRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilderV3<
+        wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenRequest.Builder, wigeonreel.wire.TokenRequestOrBuilder> 
+        getTokensFieldBuilder() {
+      if (tokensBuilder_ == null) {
+        if (!(frameCase_ == 4)) {
+          frame_ = wigeonreel.wire.TokenRequest.getDefaultInstance();
+        }
+        tokensBuilder_ = new com.google.protobuf.SingleFieldBuilderV3<
+            wigeonreel.wire.TokenRequest, wigeonreel.wire.TokenRequest.Builder, wigeonreel.wire.TokenRequestOrBuilder>(
+                (wigeonreel.wire.TokenRequest) frame_,
+                getParentForChildren(),
+                isClean());
+        frame_ = null;
+      }
+      frameCase_ = 4;
+      onChanged();
+      return tokensBuilder_;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/RequestFrameOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/RequestFrameOrBuilder.java
@@ -71,5 +71,20 @@
    */
   long getPing();
 
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   * @return Whether the tokens field is set.
+   */
+  boolean hasTokens();
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   * @return The tokens.
+   */
+  wigeonreel.wire.TokenRequest getTokens();
+  /**
+   * <code>.wigeonreel.wire.TokenRequest tokens = 4;</code>
+   */
+  wigeonreel.wire.TokenRequestOrBuilder getTokensOrBuilder();
+
   wigeonreel.wire.RequestFrame.FrameCase getFrameCase();
 }
--- a/wire/src/main/java/wigeonreel/wire/TokenRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenRequest.java
@@ -5,6 +5,10 @@
 package wigeonreel.wire;
 
 /**
+ * <pre>
+ * Asks the steward's pool for tokens of client accounts; also tells it that the daemon counts with it.
+ * </pre>
+ *
  * Protobuf type {@code wigeonreel.wire.TokenRequest}
  */
 public final class TokenRequest extends
@@ -19,6 +23,7 @@
   private TokenRequest() {
     daemon_ = "";
     wants_ = java.util.Collections.emptyList();
+    attemptId_ = "";
   }
 
   @java.lang.Override
@@ -136,6 +141,53 @@
     return leaves_;
   }
 
+  public static final int ATTEMPT_ID_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object attemptId_ = "";
+  /**
+   * <pre>
+   * Repeated in the reply.
+   * </pre>
+   *
+   * <code>string attempt_id = 4;</code>
+   * @return The attemptId.
+   */
+  @java.lang.Override
+  public java.lang.String getAttemptId() {
+    java.lang.Object ref = attemptId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      attemptId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Repeated in the reply.
+   * </pre>
+   *
+   * <code>string attempt_id = 4;</code>
+   * @return The bytes for attemptId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAttemptIdBytes() {
+    java.lang.Object ref = attemptId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      attemptId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -159,6 +211,9 @@
     if (leaves_ != false) {
       output.writeBool(3, leaves_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(attemptId_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 4, attemptId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -179,6 +234,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, leaves_);
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(attemptId_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(4, attemptId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -200,6 +258,8 @@
         .equals(other.getWantsList())) return false;
     if (getLeaves()
         != other.getLeaves()) return false;
+    if (!getAttemptId()
+        .equals(other.getAttemptId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -220,6 +280,8 @@
     hash = (37 * hash) + LEAVES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaves());
+    hash = (37 * hash) + ATTEMPT_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getAttemptId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -318,6 +380,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Asks the steward's pool for tokens of client accounts; also tells it that the daemon counts with it.
+   * </pre>
+   *
    * Protobuf type {@code wigeonreel.wire.TokenRequest}
    */
   public static final class Builder extends
@@ -360,6 +426,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       leaves_ = false;
+      attemptId_ = "";
       return this;
     }
 
@@ -412,6 +479,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.leaves_ = leaves_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.attemptId_ = attemptId_;
+      }
     }
 
     @java.lang.Override
@@ -492,6 +562,11 @@
       if (other.getLeaves() != false) {
         setLeaves(other.getLeaves());
       }
+      if (!other.getAttemptId().isEmpty()) {
+        attemptId_ = other.attemptId_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -541,6 +616,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              attemptId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -913,6 +993,98 @@
       onChanged();
       return this;
     }
+
+    private java.lang.Object attemptId_ = "";
+    /**
+     * <pre>
+     * Repeated in the reply.
+     * </pre>
+     *
+     * <code>string attempt_id = 4;</code>
+     * @return The attemptId.
+     */
+    public java.lang.String getAttemptId() {
+      java.lang.Object ref = attemptId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        attemptId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Repeated in the reply.
+     * </pre>
+     *
+     * <code>string attempt_id = 4;</code>
+     * @return The bytes for attemptId.
+     */
+    public com.google.protobuf.ByteString
+        getAttemptIdBytes() {
+      java.lang.Object ref = attemptId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        attemptId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Repeated in the reply.
+     * </pre>
+     *
+     * <code>string attempt_id = 4;</code>
+     * @param value The attemptId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAttemptId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      attemptId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Repeated in the reply.
+     * </pre>
+     *
+     * <code>string attempt_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAttemptId() {
+      attemptId_ = getDefaultInstance().getAttemptId();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Repeated in the reply.
+     * </pre>
+     *
+     * <code>string attempt_id = 4;</code>
+     * @param value The bytes for attemptId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAttemptIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      attemptId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/TokenRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/TokenRequestOrBuilder.java
@@ -53,4 +53,24 @@
    * @return The leaves.
    */
   boolean getLeaves();
+
+  /**
+   * <pre>
+   * Repeated in the reply.
+   * </pre>
+   *
+   * <code>string attempt_id = 4;</code>
+   * @return The attemptId.
+   */
+  java.lang.String getAttemptId();
+  /**
+   * <pre>
+   * Repeated in the reply.
+   * </pre>
+   *
+   * <code>string attempt_id = 4;</code>
+   * @return The bytes for attemptId.
+   */
+  com.google.protobuf.ByteString
+      getAttemptIdBytes();
 }
