Credit an account that the pool first hears of with what its limit saved since the daemons count there

Cause: a pool made the bucket of an account when its first request came, and empty. The part of the fleet that a pool counts is held by no other pool, so what flowed in since that part was reached is nobody else's.

Tests: a pool that counts three of four daemons for seconds gives a new account its part of the burst (0 of 75 before); one that was just joined gives none.

--- a/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
@@ -19,13 +19,17 @@
 class TokenPool {
     private val heardAtMs = HashMap<String, Long>()
     private val buckets = HashMap<String, TokenBucket>()
+    private var part = 0.0
+    private var partSinceMs = 0L
 
     /** Hands out up to [wanted] tokens by account to [daemon], one of [daemons] in the fleet. */
     fun ask(daemon: String, wanted: Map<AccountConfig, Int>, daemons: Int, nowMs: Long): List<TokenGrant> {
         heardAtMs[daemon] = nowMs
         heardAtMs.values.removeIf { nowMs - it > COUNTED_MS }
-        val part = (heardAtMs.size.toDouble() / daemons.coerceAtLeast(1)).coerceAtMost(1.0)
-        return wanted.map { (account, tokens) -> grant(account, tokens, part, nowMs) }
+        val present = (heardAtMs.size.toDouble() / daemons.coerceAtLeast(1)).coerceAtMost(1.0)
+        if (present > part) partSinceMs = nowMs
+        part = present
+        return wanted.map { (account, tokens) -> grant(account, tokens, nowMs) }
     }
 
     /** Stops counting [daemon], which asks another steward from now on. */
@@ -33,10 +37,11 @@
         heardAtMs -= daemon
     }
 
-    private fun grant(account: AccountConfig, tokens: Int, part: Double, nowMs: Long): TokenGrant {
+    /** An account that was not asked for yet has saved since the pool's part is what it is now: no other pool held that part. */
+    private fun grant(account: AccountConfig, tokens: Int, nowMs: Long): TokenGrant {
         val rate = account.ratePerSecond * part
         val burst = account.burst * part
-        val bucket = buckets.getOrPut(account.name) { TokenBucket(rate, burst, nowMs) }
+        val bucket = buckets.getOrPut(account.name) { TokenBucket(rate, maxOf(burst, LEAST_BURST), partSinceMs) }
         bucket.reshape(rate, maxOf(burst, LEAST_BURST), nowMs)
         val granted = bucket.take(tokens)
         return TokenGrant(account.name, granted, if (granted > 0) 0 else bucket.waitMs())
--- a/core/src/test/kotlin/wigeonreel/limit/TokenPoolTest.kt
+++ b/core/src/test/kotlin/wigeonreel/limit/TokenPoolTest.kt
@@ -98,6 +98,23 @@
         }
     }
 
+    /** Callers whose first requests come together when the fleet has been up for some seconds. */
+    @Test
+    fun `an account that is first heard of has what its limit saved since the daemons count here`() {
+        val pool = TokenPool()
+        for (nowMs in 0L..4_000L step 500) listOf("d0", "d1", "d2").forEach { pool.ask(it, emptyMap(), 4, nowMs) }
+        expectThat(pool.ask("d0", 1_000, 4, 4_100)).isEqualTo(75)
+    }
+
+    @Test
+    fun `a pool that has just been joined has saved nothing for accounts that it did not know`() {
+        val pool = TokenPool()
+        pool.ask("d0", emptyMap(), 4, 0)
+        listOf("d1", "d2").forEach { pool.ask(it, emptyMap(), 4, 10_000) }
+        expectThat(pool.ask("d0", 1_000, 4, 10_000)).isEqualTo(0)
+        expectThat(pool.ask("d0", 1_000, 4, 10_100)).isEqualTo(7)
+    }
+
     private fun refusedShare(demandsPerSecond: List<Double>): Double {
         val random = Random(7)
         val pool = TokenPool()
