--- a/core/src/main/kotlin/wigeonreel/admission/CallFeedback.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/CallFeedback.kt
@@ -9,9 +9,19 @@
  * reach the guard above it in the same way, up to the entry, where nothing has run yet.
  */
 class CallFeedback {
+    /** Lets in a share of what asks, evenly spread. */
+    private class Credit {
+        private var saved = 0.0
+
+        fun take(share: Double): Boolean {
+            saved += share
+            return (saved >= 1.0).also { if (it) saved -= 1.0 }
+        }
+    }
+
     private var share = 1.0
-    private var credit = 0.0
-    private var urgentCredit = 0.0
+    private val credit = Credit()
+    private val urgentCredit = Credit()
     private var calls = 0
     private var refused = 0
     private var windowEndsAtMs = 0L
@@ -27,12 +37,7 @@
     fun admits(urgent: Boolean, nowMs: Long): Boolean {
         roll(nowMs)
         if (share >= 1.0) return true
-        if (urgent) {
-            urgentCredit += (share * URGENT_FACTOR).coerceAtMost(1.0)
-            return (urgentCredit >= 1.0).also { if (it) urgentCredit -= 1.0 }
-        }
-        credit += share
-        return (credit >= 1.0).also { if (it) credit -= 1.0 }
+        return if (urgent) urgentCredit.take((share * URGENT_FACTOR).coerceAtMost(1.0)) else credit.take(share)
     }
 
     private fun roll(nowMs: Long) {
--- a/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/WaitingRoom.kt
@@ -26,7 +26,7 @@
     internal val order: Long,
 ) {
     /** Service time that was expected when it was started, in milliseconds. */
-    internal var startedMs = 0.0
+    internal var expectedMs = 0.0
 }
 
 /** What becomes of an arrival. */
@@ -109,7 +109,7 @@
 
     /** Notes that a running request ended, after [elapsedMs] of service if it was served; returns those to run now. */
     fun finish(ticket: Ticket, elapsedMs: Double?): List<Ticket> {
-        if (running.remove(ticket)) runningMs -= ticket.startedMs
+        if (running.remove(ticket)) runningMs -= ticket.expectedMs
         if (running.isEmpty()) runningMs = 0.0
         if (elapsedMs != null) times.learn(ticket.arrival.route, elapsedMs)
         return startNext()
@@ -160,9 +160,9 @@
     }
 
     private fun start(ticket: Ticket) {
-        ticket.startedMs = times.meanMs(ticket.arrival.route)
+        ticket.expectedMs = times.meanMs(ticket.arrival.route)
         running += ticket
-        runningMs += ticket.startedMs
+        runningMs += ticket.expectedMs
     }
 
     private fun workMs(): Double = runningMs * HALF + waiting.sumOf { times.meanMs(it.arrival.route) }
--- a/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
@@ -40,9 +40,9 @@
     /** An account that was not asked for yet has saved since the pool's part is what it is now: no other pool held that part. */
     private fun grant(account: AccountConfig, tokens: Int, nowMs: Long): TokenGrant {
         val rate = account.ratePerSecond * part
-        val burst = account.burst * part
-        val bucket = buckets.getOrPut(account.name) { TokenBucket(rate, maxOf(burst, LEAST_BURST), partSinceMs) }
-        bucket.reshape(rate, maxOf(burst, LEAST_BURST), nowMs)
+        val burst = maxOf(account.burst * part, LEAST_BURST)
+        val bucket = buckets.getOrPut(account.name) { TokenBucket(rate, burst, partSinceMs) }
+        bucket.reshape(rate, burst, nowMs)
         val granted = bucket.take(tokens)
         return TokenGrant(account.name, granted, if (granted > 0) 0 else bucket.waitMs())
     }
--- a/core/src/main/kotlin/wigeonreel/membership/Member.kt
+++ b/core/src/main/kotlin/wigeonreel/membership/Member.kt
@@ -42,4 +42,10 @@
     /** Returns whether this word about a daemon replaces [other]. */
     fun supersedes(other: Member): Boolean =
         compareValuesBy(this, other, { it.incarnation }, { if (it.state == MemberState.LEFT) 1 else 0 }, { it.revision }, { it.state }) > 0
+
+    companion object {
+        /** Returns a daemon that has just started and knows no server yet. */
+        fun starting(id: String, incarnation: Long, address: PeerAddress, place: Place): Member =
+            Member(id, incarnation, revision = 0, MemberState.ALIVE, address, place, server = null)
+    }
 }
--- a/core/src/main/kotlin/wigeonreel/retry/RepeatBudget.kt
+++ b/core/src/main/kotlin/wigeonreel/retry/RepeatBudget.kt
@@ -13,20 +13,13 @@
     private val ratio: Double,
     private val reserve: Double,
 ) {
-    private val tokens = HashMap<String, Double>()
+    private val ratios = HashMap<String, RetryRatio>()
 
     /** Notes the first send of a request to [service]. */
-    fun onFirst(service: String) {
-        tokens[service] = (tokensOf(service) + ratio).coerceAtMost(reserve)
-    }
+    fun onFirst(service: String) = ratioOf(service).onFirstAttempt()
 
     /** Returns whether a repeat may go to [service] now, and counts it. */
-    fun tryRepeat(service: String): Boolean {
-        val available = tokensOf(service)
-        if (available < 1.0) return false
-        tokens[service] = available - 1.0
-        return true
-    }
+    fun tryRepeat(service: String): Boolean = ratioOf(service).tryRetry()
 
-    private fun tokensOf(service: String) = tokens.getOrPut(service) { reserve }
+    private fun ratioOf(service: String) = ratios.getOrPut(service) { RetryRatio(ratio, reserve) }
 }
--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -35,7 +35,10 @@
     val heardAtMs: Long,
     val changed: Boolean,
     val announcementsRead: Boolean,
-)
+) {
+    /** Addresses of the daemons that take part. */
+    val liveAddresses: Set<PeerAddress> get() = members.filter { it.live }.mapTo(HashSet()) { it.address }
+}
 
 /**
  * What a control duty does besides membership.
@@ -195,9 +198,7 @@
         if (nowMs < fetchingUntilMs) return
         fetchingUntilMs = nowMs + FETCH_INTERVAL_MS
         fetchConfig(from, if (policy.ownsConfiguration) keeper.replica.current.version else 0) { delta ->
-            loop.execute {
-                guarded { keeper.offer(delta) }
-            }
+            loop.execute { guarded { keeper.offer(delta) } }
         }
     }
 
@@ -208,19 +209,15 @@
 
     private fun attach() {
         val current = keeper.replica.current
+        val delta = if (policy.ownsConfiguration) smallDelta(current) else null
+        membership.attach(GossipAttachment(ConfigProof(current.version, keeper.provenAtMs), delta))
+    }
+
+    /** Returns what changed since the last call, or null when that is nothing or too much for a datagram. */
+    private fun smallDelta(current: Configuration): ConfigDelta? {
         val delta = current.deltaSince(if (deltaBase == 0L) current.version else maxOf(deltaBase, current.version - DELTA_VERSIONS))
-        val small = delta.entries.sumOf { it.value.orEmpty().length } < MAX_DELTA_CHARS
         deltaBase = current.version
-        membership.attach(
-            GossipAttachment(
-                ConfigProof(current.version, keeper.provenAtMs),
-                delta.takeIf {
-                    policy.ownsConfiguration &&
-                        small &&
-                        delta.entries.isNotEmpty()
-                },
-            ),
-        )
+        return delta.takeIf { it.entries.isNotEmpty() && it.entries.sumOf { entry -> entry.value.orEmpty().length } < MAX_DELTA_CHARS }
     }
 
     private fun publishNow(nowMs: Long) {
--- a/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
@@ -8,7 +8,6 @@
 import wigeonreel.admin.DaemonStatus
 import wigeonreel.admin.MemberStatus
 import wigeonreel.codec.toCore
-import wigeonreel.codec.toWire
 import wigeonreel.control.ControlPolicy
 import wigeonreel.control.ControlService
 import wigeonreel.control.Publication
@@ -40,6 +39,7 @@
 import wigeonreel.traffic.LocalServer
 import wigeonreel.traffic.TrafficMetrics
 import wigeonreel.traffic.TrafficState
+import wigeonreel.traffic.deltaFor
 import wigeonreel.wire.BlockRequest
 import wigeonreel.wire.BorrowRequest
 import wigeonreel.wire.ConfigDelta
@@ -151,7 +151,7 @@
             val configuration = publication.configuration
             if (publication.changed && configuration != null) {
                 state.view = FleetView(publication.self, publication.members, configuration)
-                peers.retain(publication.members.filter { it.live }.mapTo(HashSet()) { it.address })
+                peers.retain(publication.liveAddresses)
             }
             state.view?.let {
                 home.onView(it, publication.provenAtMs)
@@ -161,20 +161,11 @@
 
     private fun fetchConfig(from: PeerAddress, afterVersion: Long, onDelta: (wigeonreel.config.ConfigDelta) -> Unit) =
         traffic.execute {
-            val request = FetchConfigRequest.newBuilder().setAfterVersion(afterVersion).build()
-            peers.call(from, CONTROL_TIMEOUT_MS, { it.fetchConfig(request) }) { delta, _ -> delta?.let { onDelta(it.toCore()) } }
+            peers.fetchConfig(from, afterVersion, CONTROL_TIMEOUT_MS, onDelta)
         }
 
     private fun self() =
-        Member(
-            id = settings.id,
-            incarnation = incarnation,
-            revision = 0,
-            state = MemberState.ALIVE,
-            address = PeerAddress(settings.listen.host, settings.listen.peerPort),
-            place = settings.place,
-            server = null,
-        )
+        Member.starting(settings.id, incarnation, PeerAddress(settings.listen.host, settings.listen.peerPort), settings.place)
 
     private inner class PeerCallsHandler : PeerHandler {
         override fun forward(request: ForwardRequest, onReply: (ForwardReply) -> Unit) =
@@ -187,10 +178,7 @@
 
         override fun borrow(request: BorrowRequest) = limits.lend(request)
 
-        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
-            val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
-            return current.deltaSince(request.afterVersion).toWire()
-        }
+        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta = state.view.deltaFor(request)
 
         override fun offerConfig(delta: ConfigDelta, onReceipt: (ConfigReceipt) -> Unit) =
             control.execute {
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -6,8 +6,6 @@
 import wigeonreel.backend.BackendReport
 import wigeonreel.backend.BackendState
 import wigeonreel.backend.ReportOutcome
-import wigeonreel.codec.toCore
-import wigeonreel.codec.toWire
 import wigeonreel.control.ControlService
 import wigeonreel.control.Departure
 import wigeonreel.control.DepartureRecord
@@ -31,6 +29,7 @@
 import wigeonreel.retry.RepeatBudget
 import wigeonreel.routing.Router
 import wigeonreel.traffic.FleetView
+import wigeonreel.traffic.deltaFor
 import wigeonreel.wire.BlockReply
 import wigeonreel.wire.BlockRequest
 import wigeonreel.wire.BorrowReply
@@ -170,27 +169,17 @@
                 val before = state.view?.configuration?.version
                 state.view = FleetView(publication.self, publication.members, configuration)
                 if (before != configuration.version) events.changed("config", "version=${configuration.version} before=$before")
-                peers.retain(publication.members.filter { it.live }.mapTo(HashSet()) { it.address })
+                peers.retain(publication.liveAddresses)
                 router.retain(publication.members.mapTo(HashSet()) { it.id })
             }
         }
 
     private fun fetchConfig(from: PeerAddress, afterVersion: Long, onDelta: (wigeonreel.config.ConfigDelta) -> Unit) =
         traffic.execute {
-            val request = FetchConfigRequest.newBuilder().setAfterVersion(afterVersion).build()
-            peers.call(from, FETCH_TIMEOUT_MS, { it.fetchConfig(request) }) { delta, _ -> delta?.let { onDelta(it.toCore()) } }
+            peers.fetchConfig(from, afterVersion, FETCH_TIMEOUT_MS, onDelta)
         }
 
-    private fun self() =
-        Member(
-            id = settings.id,
-            incarnation = incarnation,
-            revision = 0,
-            state = MemberState.ALIVE,
-            address = PeerAddress(settings.peers.host, settings.peers.port),
-            place = settings.place,
-            server = null,
-        )
+    private fun self() = Member.starting(settings.id, incarnation, PeerAddress(settings.peers.host, settings.peers.port), settings.place)
 
     private fun listen(name: String, address: HttpAddress, handler: HttpHandler) =
         kernel.register(HttpListener(name, traffic, address.host, address.port, settings.http, handler))
@@ -230,10 +219,7 @@
 
         override fun takeTokens(request: TokenRequest): TokenGrants = quota.onRequest(request)
 
-        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta {
-            val current = state.view?.configuration ?: return ConfigDelta.getDefaultInstance()
-            return current.deltaSince(request.afterVersion).toWire()
-        }
+        override fun fetchConfig(request: FetchConfigRequest): ConfigDelta = state.view.deltaFor(request)
 
         override fun offerConfig(delta: ConfigDelta, onReceipt: (ConfigReceipt) -> Unit) =
             onReceipt(ConfigReceipt.newBuilder().setVersion(state.view?.configuration?.version ?: 0).build())
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -19,6 +19,7 @@
 import wigeonreel.outcome.Ran
 import wigeonreel.outcome.Refusal
 import wigeonreel.routing.WeightedSplit
+import wigeonreel.traffic.refusal
 
 /** Entry of requests from the callers on this VM and from its backend server. */
 class MeshEntry(
@@ -40,14 +41,8 @@
     }
 
     override fun reject(fault: HttpFault): HttpResponse {
-        val refusal =
-            when (fault) {
-                HttpFault.MALFORMED -> Refusal.MALFORMED_REQUEST
-                HttpFault.HEADERS_TOO_LARGE -> Refusal.HEADERS_TOO_LARGE
-                HttpFault.BODY_TOO_LARGE -> Refusal.BODY_TOO_LARGE
-            }
-        events.refused(null, refusal)
-        return protocol.refusal(refusal, 0)
+        events.refused(null, fault.refusal)
+        return protocol.refusal(fault.refusal, 0)
     }
 
     private fun enter(exchange: HttpExchange, request: CallerRequest, nowMs: Long) =
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -92,13 +92,7 @@
                     .setTokens(tokens)
                     .build()
             }
-        val request =
-            TokenRequest
-                .newBuilder()
-                .setDaemon(selfId)
-                .setAttemptId(nextId())
-                .addAllWants(entries)
-                .build()
+        val request = newRequest().addAllWants(entries).build()
         if (steward.id == selfId) {
             take(onRequest(request))
             return onAnswer()
@@ -115,17 +109,10 @@
         steward = next
         if (earlier == null || earlier.id == next.id) return
         if (earlier.id == selfId) return pool.forget(selfId)
-        val request =
-            TokenRequest
-                .newBuilder()
-                .setDaemon(selfId)
-                .setAttemptId(nextId())
-                .setLeaves(true)
-                .build()
-        peers.takeTokens(earlier.address, request, ANSWER_MS) { }
+        peers.takeTokens(earlier.address, newRequest().setLeaves(true).build(), ANSWER_MS) { }
     }
 
-    private fun nextId() = "tokens-${++requests}"
+    private fun newRequest() = TokenRequest.newBuilder().setDaemon(selfId).setAttemptId("tokens-${++requests}")
 
     private fun take(grants: TokenGrants) {
         val nowMs = clock.nowMs()
@@ -139,9 +126,9 @@
 
     /** The least id among the daemons that stay; one that leaves is its own steward only when it is alone. */
     private fun stewardOf(view: FleetView, nowMs: Long): Member? =
-        view.members
-            .filter { if (it.id == selfId) !state.leaving else it.state == MemberState.ALIVE && (avoidedUntilMs[it.id] ?: 0) <= nowMs }
-            .minByOrNull { it.id } ?: view.member(selfId)
+        view.membersById.firstOrNull {
+            if (it.id == selfId) !state.leaving else it.state == MemberState.ALIVE && (avoidedUntilMs[it.id] ?: 0) <= nowMs
+        } ?: view.member(selfId)
 
     private fun stockOf(account: String) = stocks.getOrPut(account) { TokenStock(clock.nowMs()) }
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -111,9 +111,7 @@
             router.onReply(member.id, reply.inFlight, reply.limit, clock.nowMs())
             if (done) return
             if (reply.attemptId != message.attemptId) return refuse(Refusal.ANSWER_LOST)
-            if (reply.outcome ==
-                Outcome.ANSWERED
-            ) {
+            if (reply.outcome == Outcome.ANSWERED) {
                 return onAnswer(member, HttpResponse(reply.status, reply.headersList.toHttp(), reply.body.toByteArray()))
             }
             retryAfterMs = if (retryAfterMs == 0) reply.retryAfterMs else minOf(retryAfterMs, reply.retryAfterMs)
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerClients.kt
@@ -10,7 +10,10 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
+import wigeonreel.codec.toCore
+import wigeonreel.config.ConfigDelta
 import wigeonreel.membership.PeerAddress
+import wigeonreel.wire.FetchConfigRequest
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
 import wigeonreel.wire.PeerGrpc
@@ -73,6 +76,12 @@
         return { future.cancel(true) }
     }
 
+    /** Fetches the configuration entries changed after [afterVersion] from the peer at [from]; [onDelta] is called if they come. */
+    fun fetchConfig(from: PeerAddress, afterVersion: Long, timeoutMs: Long, onDelta: (ConfigDelta) -> Unit) {
+        val request = FetchConfigRequest.newBuilder().setAfterVersion(afterVersion).build()
+        call(from, timeoutMs, { it.fetchConfig(request) }) { delta, _ -> delta?.let { onDelta(it.toCore()) } }
+    }
+
     /** Closes the connections to peers that are not in [known]. */
     fun retain(known: Set<PeerAddress>) {
         links.entries.removeIf { (address, link) -> (address !in known).also { if (it) link.close() } }
--- a/daemon/src/main/kotlin/wigeonreel/traffic/EntryService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/EntryService.kt
@@ -69,14 +69,8 @@
 
     /** Returns the answer to bytes that are no acceptable request. */
     fun rejection(fault: HttpFault): HttpResponse {
-        val refusal =
-            when (fault) {
-                HttpFault.MALFORMED -> Refusal.MALFORMED_REQUEST
-                HttpFault.HEADERS_TOO_LARGE -> Refusal.HEADERS_TOO_LARGE
-                HttpFault.BODY_TOO_LARGE -> Refusal.BODY_TOO_LARGE
-            }
-        metrics.entryRefused(refusal)
-        return refusal.toResponse()
+        metrics.entryRefused(fault.refusal)
+        return fault.refusal.toResponse()
     }
 
     private fun enter(exchange: HttpExchange, parent: RequestContext?) {
--- a/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/FleetView.kt
@@ -1,11 +1,14 @@
 package wigeonreel.traffic
 
 import com.google.common.hash.Hashing
+import wigeonreel.codec.toWire
 import wigeonreel.config.Configuration
 import wigeonreel.membership.Member
 import wigeonreel.membership.MemberState
 import wigeonreel.place.Distance
 import wigeonreel.routing.Candidate
+import wigeonreel.wire.ConfigDelta
+import wigeonreel.wire.FetchConfigRequest
 
 /** What the path of requests knows of the fleet; replaced as a whole by the control duty. */
 class FleetView(
@@ -29,6 +32,9 @@
     /** Number of daemons that are or lately were in the fleet; those that left on purpose do not count. */
     val knownDaemons: Int = members.count { it.state != MemberState.LEFT }.coerceAtLeast(1)
 
+    /** Known daemons by id; sorted once, since each request for tokens looks for the first that serves. */
+    val membersById: List<Member> by lazy { members.sortedBy { it.id } }
+
     /** Ids of all known daemons. */
     val memberIds: Set<String> get() = byId.keys
 
@@ -48,3 +54,7 @@
         const val MAX_SERVERS_PER_DISTANCE = 8
     }
 }
+
+/** Returns the wire form of the entries changed after the version that [request] names; empty while no configuration is known. */
+fun FleetView?.deltaFor(request: FetchConfigRequest): ConfigDelta =
+    this?.configuration?.deltaSince(request.afterVersion)?.toWire() ?: ConfigDelta.getDefaultInstance()
--- a/daemon/src/main/kotlin/wigeonreel/traffic/HeaderNames.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/HeaderNames.kt
@@ -1,6 +1,7 @@
 package wigeonreel.traffic
 
 import wigeonreel.http.HttpHeader
+import wigeonreel.http.headerNames
 import wigeonreel.http.isHopByHop
 
 /** Headers of the interface towards callers and backend servers. */
@@ -35,6 +36,6 @@
 
 /** Returns the headers that may be passed to a backend server: neither keys nor headers of the system. */
 fun List<HttpHeader>.passable(): List<HttpHeader> =
-    filterNot { it.isHopByHop || it.name.lowercase().startsWith(HeaderNames.PREFIX) || it.name.lowercase() in REMOVED }
+    filterNot { it.isHopByHop || it.name.startsWith(HeaderNames.PREFIX, ignoreCase = true) || it.name in REMOVED }
 
-private val REMOVED = setOf("authorization", "host", "idempotency-key", "expect")
+private val REMOVED = headerNames(listOf("authorization", "host", "idempotency-key", "expect"))
--- a/daemon/src/main/kotlin/wigeonreel/traffic/Refusals.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/Refusals.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import wigeonreel.http.HttpFault
 import wigeonreel.http.HttpHeader
 import wigeonreel.http.HttpResponse
 import wigeonreel.http.jsonResponse
@@ -31,3 +32,12 @@
         }
     return jsonResponse(status, json.encodeToString(RefusalBody.serializer(), body), headers)
 }
+
+/** Refusal of bytes that are no acceptable request. */
+internal val HttpFault.refusal: Refusal
+    get() =
+        when (this) {
+            HttpFault.MALFORMED -> Refusal.MALFORMED_REQUEST
+            HttpFault.HEADERS_TOO_LARGE -> Refusal.HEADERS_TOO_LARGE
+            HttpFault.BODY_TOO_LARGE -> Refusal.BODY_TOO_LARGE
+        }
--- a/http/src/main/kotlin/wigeonreel/http/HttpMessages.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpMessages.kt
@@ -1,5 +1,7 @@
 package wigeonreel.http
 
+import java.util.TreeSet
+
 /** Header field of an HTTP message. */
 data class HttpHeader(
     val name: String,
@@ -68,6 +70,9 @@
 /** Returns the first value of the header [name], or null. */
 fun List<HttpHeader>.valueOf(name: String): String? = firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 
+/** Returns [names] as a set in which the case of letters does not matter. */
+fun headerNames(names: Iterable<String>): Set<String> = names.toCollection(TreeSet(String.CASE_INSENSITIVE_ORDER))
+
 /** Returns a response with a JSON body. */
 fun jsonResponse(status: Int, json: String, headers: List<HttpHeader> = emptyList()): HttpResponse =
     HttpResponse(status, headers + HttpHeader("Content-Type", "application/json"), json.encodeToByteArray())
--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
 import io.netty.util.ReferenceCountUtil
-import java.util.TreeSet
 import io.netty.handler.codec.http.HttpMessage as NettyHttpMessage
 
 /** Gathers request bodies up to a bound and answers larger ones with a typed refusal. */
@@ -134,17 +133,19 @@
 }
 
 private val HOP_BY_HOP =
-    listOf(
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    ).toCollection(TreeSet(String.CASE_INSENSITIVE_ORDER))
+    headerNames(
+        listOf(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+        ),
+    )
 
 /** Whether this header concerns one connection only and is not passed on. */
 val HttpHeader.isHopByHop: Boolean get() = name in HOP_BY_HOP
--- a/kernel/src/main/kotlin/wigeonreel/kernel/EventLog.kt
+++ b/kernel/src/main/kotlin/wigeonreel/kernel/EventLog.kt
@@ -92,38 +92,28 @@
     /** Adds a text; null is left out. */
     fun put(name: String, value: String?) {
         if (value == null) return
-        text.append(",\"").append(name).append("\":\"")
+        begin(name).append('"')
         value.forEach { append(it) }
         text.append('"')
     }
 
     /** Adds a whole number. */
     fun put(name: String, value: Long) {
-        text
-            .append(",\"")
-            .append(name)
-            .append("\":")
-            .append(value)
+        begin(name).append(value)
     }
 
     /** Adds a number, to two places. */
     fun put(name: String, value: Double) {
-        text
-            .append(",\"")
-            .append(name)
-            .append("\":")
-            .append(Math.round(value * HUNDREDTHS) / HUNDREDTHS)
+        begin(name).append(Math.round(value * HUNDREDTHS) / HUNDREDTHS)
     }
 
     /** Adds a truth value. */
     fun put(name: String, value: Boolean) {
-        text
-            .append(",\"")
-            .append(name)
-            .append("\":")
-            .append(value)
+        begin(name).append(value)
     }
 
+    private fun begin(name: String) = text.append(",\"").append(name).append("\":")
+
     internal fun finish(): String = text.append('}').toString()
 
     private fun append(character: Char) {
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -1,7 +1,6 @@
 package wigeonreel.standin
 
 import io.netty.channel.EventLoopGroup
-import wigeonreel.control.ControlPolicy
 import wigeonreel.daemon.steadyClock
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
@@ -17,14 +16,13 @@
 import wigeonreel.http.dutyLoop
 import wigeonreel.http.textResponse
 import wigeonreel.mesh.MeshDaemon
-import wigeonreel.mesh.MeshPlatform
 import wigeonreel.mesh.MeshSettings
 import wigeonreel.place.Place
 import wigeonreel.platform.ExpectedBackend
 import wigeonreel.platform.HttpTableService
 import wigeonreel.platform.InstanceReports
 import wigeonreel.platform.OPERATOR_FORMAT
-import wigeonreel.platform.SidecarProtocol
+import wigeonreel.platform.sidecarPlatform
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
@@ -111,11 +109,7 @@
                 graceMs = 6_000,
                 repeatRatio = 0.2,
             )
-        val protocol = SidecarProtocol { service }
-        val platform =
-            MeshPlatform(protocol, protocol, ControlPolicy(OPERATOR_FORMAT, ownsConfiguration = false)) { own ->
-                HttpTableService(HttpConnector(own), storeAddress, 1_000)
-            }
+        val platform = sidecarPlatform({ service }) { own -> HttpTableService(HttpConnector(own), storeAddress, 1_000) }
         val daemon = MeshDaemon(settings, platform, steadyClock()) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
         return FakeVm(server, callers, control, readiness, daemon)
     }
