--- a/scenario/src/main/kotlin/wigeonreel/bench/FleetBench.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/FleetBench.kt
@@ -9,8 +9,6 @@
 import wigeonreel.config.Configuration
 import wigeonreel.limit.LimitPolicy
 import wigeonreel.limit.SeatLender
-import wigeonreel.membership.ConfigProof
-import wigeonreel.membership.GossipAttachment
 import wigeonreel.membership.MemberState
 import wigeonreel.membership.Membership
 import wigeonreel.membership.MembershipPolicy
@@ -19,7 +17,6 @@
 import wigeonreel.once.HomeBinding
 import wigeonreel.once.OncePolicy
 import wigeonreel.once.mintKey
-import wigeonreel.soak.EventQueue
 import wigeonreel.traffic.FleetView
 import java.lang.ref.Reference
 import kotlin.random.Random
@@ -50,24 +47,6 @@
     val documentBytes: Int,
 )
 
-/** Fleet of real cores on virtual time. */
-@Serializable
-internal data class SpreadReport(
-    val members: Int,
-    val lossPercent: Int,
-    val inForce50Ms: Long,
-    val inForce99Ms: Long,
-    val inForceAllMs: Long,
-    val quietBytesInPerSecond: Double,
-    val quietBytesOutPerSecond: Double,
-    val regionLinkBytesPerSecond: Double,
-    val killNoticed50Ms: Long,
-    val killNoticedAllMs: Long,
-    val falseDeaths: Int,
-    val deadAfterPause10s: Boolean,
-    val domainLossBytesInPerSecond: Double,
-)
-
 /** Measures the slopes that docs/CAPACITY.md is worked out from; virtual time, so only CPU and heap vary between runs. */
 internal class FleetBench(
     private val seed: Long,
@@ -77,7 +56,11 @@
         println(Json.encodeToString(state))
         val views = listOf(50, 500, 3_700).map { measureView(it) }.onEach { println(Json.encodeToString(it)) }
         val changes = listOf(8, 100, 400).map { measureChange(it) }.onEach { println(Json.encodeToString(it)) }
-        val spreads = sizes.flatMap { size -> listOf(0, 1).map { measureSpread(size, it) } }.onEach { println(Json.encodeToString(it)) }
+        val spreads =
+            sizes
+                .flatMap { size ->
+                    listOf(0, 1).map { SpreadBench(seed, size, it).measure() }
+                }.onEach { println(Json.encodeToString(it)) }
         val worst = spreads.last()
         println(
             """{"bench":"fleet","seed":$seed,"bytesPerMember":${state.bytesPerMember},""" +
@@ -185,97 +168,6 @@
         return ChangeReport(accounts, ns / NS_PER_MS / CHANGES, documentBytes)
     }
 
-    private fun measureSpread(size: Int, lossPercent: Int): SpreadReport {
-        val queue = EventQueue(seed)
-        val fleet = FleetNetwork(size, queue, lossPercent / 100.0)
-        fleet.startJoined()
-        queue.run(SETTLE_MS)
-        val quiet = fleet.bytesOver(queue, QUIET_MS)
-        val inForce = spreadConfig(fleet, queue)
-        val killed = kill(fleet, queue)
-        val paused = fleet.nodes[size / 3]
-        paused.pausedUntilMs = queue.nowMs + PAUSE_MS
-        queue.run(PAUSE_MS + RECOVER_MS)
-        val deadAfterPause = fleet.nodes.any { it.up && it.membership.view[paused.membership.self.id]?.state == MemberState.DEAD }
-        val falseDeaths =
-            fleet.nodes.count { node ->
-                node.up &&
-                    fleet.nodes.any { it.up && it.membership.view[node.membership.self.id]?.state == MemberState.DEAD }
-            }
-        val lost = fleet.nodes.filter { it.membership.self.place.failureDomain == "fd2" }.onEach { it.up = false }
-        val domainLoss = fleet.bytesOver(queue, DOMAIN_LOSS_MS)
-        return SpreadReport(
-            members = size,
-            lossPercent = lossPercent,
-            inForce50Ms = inForce[inForce.size / 2],
-            inForce99Ms = inForce[inForce.size * 99 / 100],
-            inForceAllMs = inForce.last(),
-            quietBytesInPerSecond = quiet.inPerSecond,
-            quietBytesOutPerSecond = quiet.outPerSecond,
-            regionLinkBytesPerSecond = quiet.linkPerSecond,
-            killNoticed50Ms = killed[killed.size / 2],
-            killNoticedAllMs = killed.last(),
-            falseDeaths = falseDeaths,
-            deadAfterPause10s = deadAfterPause,
-            domainLossBytesInPerSecond = domainLoss.inPerSecond * size / (size - lost.size),
-        )
-    }
-
-    /** The daemon that an operator asked has the change; it spreads as the real daemon spreads it. */
-    private fun spreadConfig(fleet: FleetNetwork, queue: EventQueue): List<Long> {
-        val entry = ConfigEntry("account/a1", """{"name":"a1","ratePerSecond":100,"burst":100,"labels":{"tier":"gold"}}""", 1)
-        val attachment = GossipAttachment(ConfigProof(1, queue.nowMs), ConfigDelta(0, 1, listOf(entry)))
-        val startedMs = queue.nowMs
-        val times = mutableListOf<Long>()
-        val take = { node: FleetNetwork.Node ->
-            if (node.heardVersion == 0L) {
-                node.heardVersion = 1
-                node.membership.attach(attachment)
-                times += queue.nowMs - startedMs
-            }
-        }
-        fleet.onTaken = { node, message -> if (message.proof.version == 1L) take(node) }
-        take(fleet.nodes[0])
-        queue.run(SPREAD_MS)
-        fleet.onTaken = { _, _ -> }
-        return times + List(fleet.nodes.size - times.size) { SPREAD_MS }
-    }
-
-    private fun kill(fleet: FleetNetwork, queue: EventQueue): List<Long> {
-        val victim = fleet.nodes[fleet.nodes.size / 2].also { it.up = false }
-        val startedMs = queue.nowMs
-        val times = LongArray(fleet.nodes.size) { -1 }
-        repeat((NOTICE_MS / STEP_MS).toInt()) {
-            queue.run(STEP_MS)
-            fleet.nodes.forEachIndexed { i, node ->
-                if (times[i] < 0 && node.membership.view[victim.membership.self.id]?.live != true) times[i] = queue.nowMs - startedMs
-            }
-        }
-        return fleet.nodes.indices
-            .filter { fleet.nodes[it].up }
-            .map { if (times[it] < 0) NOTICE_MS else times[it] }
-            .sorted()
-    }
-
-    private class Traffic(
-        val inPerSecond: Double,
-        val outPerSecond: Double,
-        val linkPerSecond: Double,
-    )
-
-    private fun FleetNetwork.bytesOver(queue: EventQueue, durationMs: Long): Traffic {
-        val inBefore = nodes.sumOf { it.bytesIn }
-        val outBefore = nodes.sumOf { it.bytesOut }
-        val linkBefore = regionLinkBytes
-        queue.run(durationMs)
-        val perNodeSecond = nodes.size * durationMs / 1_000.0
-        return Traffic(
-            inPerSecond = (nodes.sumOf { it.bytesIn } - inBefore) / perNodeSecond,
-            outPerSecond = (nodes.sumOf { it.bytesOut } - outBefore) / perNodeSecond,
-            linkPerSecond = (regionLinkBytes - linkBefore) / (durationMs / 1_000.0),
-        )
-    }
-
     private companion object {
         const val NOW_MS = 1_700_000_000_000L
         const val DOMAINS = 6
@@ -293,14 +185,6 @@
         const val ENTRY_BYTES = 40
         const val CHANGE_WARM_UP = 100
         const val CHANGES = 100
-        const val SETTLE_MS = 20_000L
-        const val QUIET_MS = 20_000L
-        const val SPREAD_MS = 20_000L
-        const val PAUSE_MS = 10_000L
-        const val RECOVER_MS = 15_000L
-        const val NOTICE_MS = 30_000L
-        const val STEP_MS = 100L
-        const val DOMAIN_LOSS_MS = 30_000L
         const val NS_PER_US = 1_000.0
         const val NS_PER_MS = 1_000_000.0
     }
