End requests whose backend server writes without end

Cause, by EndlessAnswerTest over sockets (20 cases; four failed before): interim answers and answers to other requests were skipped until the request's own time was over, an interim answer that carried the request's id was passed on as the final one, and a kept connection on which bytes came while it was idle stayed in use. Ruled out: status lines, heads, bodies, chunk sizes and trailers without end were bounded already, as was one byte at a time (by the request's time).

Change: at most eight answers are skipped for one request, interim ones are never final, a change of protocol ends the connection, idle connections take no bytes, and a connection with bytes behind a whole answer is not kept.

All cases pass, with one more for bytes after a change of protocol.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -62,8 +62,8 @@
     private val state = MeshState()
     private val router = Router(Random(incarnation))
     private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
-    private val guard =
-        kernel.register(MeshGuard(state, platform.servers, HttpConnector(traffic, settings.http), events, clock, ::announce))
+    private val backendConnector = HttpConnector(traffic, settings.http.copy(maxBodyBytes = settings.maxAnswerBytes))
+    private val guard = kernel.register(MeshGuard(state, platform.servers, backendConnector, events, clock, ::announce))
     private val budget = RepeatBudget(settings.repeatRatio * REPEAT_SHARE, REPEAT_RESERVE)
     private val sender =
         kernel.register(
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
@@ -12,6 +12,7 @@
  * @param readiness address that tells whether callers may come.
  * @param peers address for other daemons, TCP and UDP.
  * @param metrics address of the metrics.
+ * @param maxAnswerBytes longest answer of a backend server that is passed on.
  * @param graceMs time between the request to stop and the end of the process, in milliseconds.
  * @param repeatRatio repeated arrivals allowed for each request over the fleet.
  */
@@ -24,6 +25,7 @@
     val peers: HttpAddress,
     val metrics: HttpAddress,
     val http: HttpLimits,
+    val maxAnswerBytes: Int,
     val graceMs: Long,
     val repeatRatio: Double,
 )
--- a/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 
 /** Address of an HTTP server. */
 data class HttpAddress(
@@ -68,6 +68,7 @@
     )
 
     private val idle = HashMap<HttpAddress, ArrayDeque<Kept>>()
+    private val budget = ReceiveBudget(limits.maxUnfinishedBytes)
 
     /** Sends [request] and calls [onResult] once, within [timeoutMs]. */
     fun send(
@@ -130,11 +131,15 @@
     private fun initializer() =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(ch: SocketChannel) {
+                val decoder = AnswerDecoder(limits)
                 ch.pipeline().addLast(
-                    HttpClientCodec(limits.maxRequestLineBytes, limits.maxHeaderBytes, CHUNK_BYTES),
+                    UnaskedBytesCheck(),
+                    decoder,
+                    HttpRequestEncoder(),
                     FramingCheck(),
+                    ReceiveAccount(budget),
                     ResponseAggregator(limits.maxBodyBytes),
-                    ClientConnection(this@HttpConnector),
+                    ClientConnection(this@HttpConnector, decoder),
                 )
             }
         }
@@ -148,6 +153,5 @@
         /** Time for which a connection is used when the server names none, in milliseconds. */
         const val DEFAULT_KEEP_MS = 4_000L
         const val NS_PER_MS = 1_000_000L
-        const val CHUNK_BYTES = 8_192
     }
 }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -106,6 +106,7 @@
                 peers = HttpAddress("127.0.0.1", freePort()),
                 metrics = metrics,
                 http = HttpLimits(),
+                maxAnswerBytes = 1_000_000,
                 graceMs = 6_000,
                 repeatRatio = 0.2,
             )
