Let a few daemons of each failure domain watch the store for the others

Cause: each daemon kept a watch open (a call each 3 s), read the rows of all daemons four times in its first five seconds and wrote its row again with each change of its server.

Change: WatchDuty chooses two daemons of each failure domain from the membership view; versions and proofs reach the others by gossip, and a daemon without a newer proof for 8 s watches by itself. Rows are written once; a refused write is repeated, and a row that can't be deleted is logged.

Callers see no difference.

--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -1,6 +1,5 @@
 package wigeonreel.control
 
-import com.google.common.hash.Hashing
 import io.netty.channel.EventLoopGroup
 import wigeonreel.config.ConfigDelta
 import wigeonreel.config.ConfigOffer
@@ -18,6 +17,7 @@
 import wigeonreel.membership.PeerAddress
 import wigeonreel.membership.ServerInfo
 import wigeonreel.steward.StewardPolicy
+import wigeonreel.steward.WatchDuty
 import wigeonreel.steward.isSteward
 import wigeonreel.steward.planStewardship
 import wigeonreel.store.TableService
@@ -71,10 +71,12 @@
     private var publishedChanges = -1L
     private var publishedVersion = -1L
     private var nextPollMs = 0L
-    private var nextSeedsMs = 0L
-    private var seedReads = 0
+    private var announced = false
     private var announcementsRead = false
     private val startedAtMs = clock.nowMs()
+    private val watch = WatchDuty(startedAtMs)
+    private var watchedChanges = -1L
+    private var nextSeedsMs = startedAtMs + UNCONFIRMED_SEEDS_MS
     private var nextStewardMs = 0L
     private var writing = false
     private var fetchingUntilMs = 0L
@@ -107,12 +109,8 @@
         socket.close()
     }
 
-    /** Announces the local server to the fleet and to the store. */
-    fun announce(server: ServerInfo?) {
-        val before = membership.self
-        membership.announce(server, before.state)
-        if (membership.self != before) registry.announce(membership.self)
-    }
+    /** Announces the local server to the fleet. */
+    fun announce(server: ServerInfo?) = membership.announce(server, membership.self.state)
 
     /** Tells the fleet that this daemon leaves or has left. */
     fun leave(state: MemberState) {
@@ -131,46 +129,57 @@
     }
 
     private fun begin() {
-        registry.announce(membership.self)
+        record()
         if (policy.ownsConfiguration) keeper.poll()
     }
 
     private fun tick() {
         val nowMs = clock.nowMs()
         socket.send(membership.tick(nowMs))
+        chooseWatchers()
         if (nowMs >= nextSeedsMs) readSeeds(nowMs)
         if (policy.ownsConfiguration) {
             if (nowMs >= nextPollMs) poll(nowMs)
             if (nowMs >= nextStewardMs) steward(nowMs)
         } else {
-            keeper.follow(nowMs)
+            watch.onProof(keeper.provenAtMs, nowMs)
+            if (!keeper.replica.ready || watch.isDue(nowMs)) keeper.follow(nowMs)
             attach()
         }
         publishNow(nowMs)
     }
 
+    private fun chooseWatchers() {
+        if (membership.changes == watchedChanges) return
+        watchedChanges = membership.changes
+        watch.onMembers(self, members)
+    }
+
     private fun poll(nowMs: Long) {
-        val intervalMs = if (!keeper.replica.ready || isPoller()) POLLER_INTERVAL_MS else OTHERS_INTERVAL_MS
+        val intervalMs = if (!keeper.replica.ready || watch.chosen) POLLER_INTERVAL_MS else OTHERS_INTERVAL_MS
         nextPollMs = nowMs + intervalMs / 2 + ThreadLocalRandom.current().nextLong(intervalMs)
         keeper.poll { attach() }
     }
 
-    /** Daemons that start together see each other's rows only on a later read; a rare read joins parts of a fleet that lost each other. */
+    /** Of two daemons that each read after their own row is written, at least one finds the other. */
+    private fun record() =
+        registry.announce(membership.self) {
+            announced = true
+            nextSeedsMs = clock.nowMs()
+        }
+
+    /** A rare read by few joins parts of a fleet that lost each other. */
     private fun readSeeds(nowMs: Long) {
-        val alone = membership.view.size == 1
-        nextSeedsMs = nowMs + if (alone) SEEDS_ALONE_MS else SEEDS_MS.getOrElse(seedReads++) { SEEDS_MS.last() }
+        nextSeedsMs = nowMs + SEEDS_ALONE_MS
+        if (!announced) record()
         registry.readSeeds { seeds ->
             announcementsRead = true
             membership.seed(seeds.filter { it.id != self.id }, clock.nowMs())
+            val alone = members.none { it.live && it.id != self.id }
+            if (!alone) nextSeedsMs = clock.nowMs() + if (watch.chosen) SEEDS_MS else SEEDS_OF_OTHERS_MS
         }
     }
 
-    /** A few daemons of each failure domain read the store often; the others learn by gossip. */
-    private fun isPoller(): Boolean {
-        val own = pollerWeight(self.id)
-        return members.count { it.place == self.place && it.state == MemberState.ALIVE && pollerWeight(it.id) < own } < POLLERS_PER_DOMAIN
-    }
-
     private fun steward(nowMs: Long) {
         nextStewardMs = nowMs + STEWARD_INTERVAL_MS
         val settled = membership.view.size > 1 || nowMs - self.incarnation > STEWARD_ALONE_AFTER_MS
@@ -249,20 +258,22 @@
         const val TICK_MS = 100L
         const val POLLER_INTERVAL_MS = 1_000L
         const val OTHERS_INTERVAL_MS = 60_000L
-        const val POLLERS_PER_DOMAIN = 2
         const val STEWARD_INTERVAL_MS = 1_000L
         const val STEWARD_ALONE_AFTER_MS = 5_000L
 
         /** Time in which a daemon meets the whole fleet through its peers when the store is away, in milliseconds. */
         const val MEETING_MS = 3_000L
+        /** Wait for the store to confirm this daemon's own row before the others are read all the same, in milliseconds. */
+        const val UNCONFIRMED_SEEDS_MS = 1_500L
         const val SEEDS_ALONE_MS = 1_000L
-        val SEEDS_MS = listOf(700L, 1_500L, 3_000L, 30_000L)
+        const val SEEDS_MS = 30_000L
+
+        /** Interval of daemons that do not watch for their failure domain: as long as departed daemons are remembered. */
+        const val SEEDS_OF_OTHERS_MS = 600_000L
         const val FETCH_INTERVAL_MS = 200L
         const val DELTA_VERSIONS = 8L
         const val MAX_DELTA_CHARS = 900
         const val LEAVE_ROUNDS = 4
         const val LEAVE_SEND_MS = 50L
     }
-}
-
-private fun pollerWeight(id: String): Long = Hashing.murmur3_128().hashString("poller/$id", Charsets.UTF_8).asLong()
+}
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -17,16 +17,15 @@
 ) {
     private val log = Log("registry")
 
-    /** Writes the row of [member]; a repeat is harmless. */
-    fun announce(member: Member) =
-        table.write(
-            rowOf(member),
-            member.toText(),
-            null,
-        ) { result -> result.onLeft { log.info("announcement not written: ${it.message}") } }
-
-    /** Deletes the row of [member]. */
-    fun withdraw(member: Member) = table.delete(rowOf(member)) { }
+    /** Writes the row of [member]; [onWritten] is called when the store has confirmed it. A repeat is harmless. */
+    fun announce(member: Member, onWritten: () -> Unit) =
+        table.write(rowOf(member), member.toText(), null) { result ->
+            result.fold({ log.info("announcement not written: ${it.message}") }, { onWritten() })
+        }
+
+    /** Deletes the row of [member]; one that stays names a daemon that nobody reaches. */
+    fun withdraw(member: Member) =
+        table.delete(rowOf(member)) { result -> result.onLeft { log.info("announcement not deleted: ${it.message}") } }
 
     /** Reads one page of announcements. */
     fun readSeeds(onSeeds: (List<Member>) -> Unit) =
