Draw three servers, look farther only when near ones are nearly full, ask more guards for begun work

Cause: in MeshReplay (94 VMs, deepest service of 24 servers with 9 slots) every call that was turned away at 1.7 times the demand found its service with free slots elsewhere: two servers drawn among the two to four of a failure domain miss the free one, a second refusal ended the call, and a load of 0.75 already sent calls over the region link.

Change: three are drawn, farther ones are looked at from a load of 0.9 on and must be less full by 0.2 for each step, and a call of a running request asks three more guards after a full one; a new request asks one more as before, since it loses little by coming back. Weighed in the replay: longer memory of loads (0.5 to 1.5 s, fading), one more or fewer guards for new requests, penalties of 0.1 and 0.3, thresholds of 0.75 and 0.95.

--- a/core/src/main/kotlin/wigeonreel/routing/Placement.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Placement.kt
@@ -8,8 +8,12 @@
  * Load pattern: the servers of a service are unequally full, and what a daemon knows of them is old by the time between
  * two of its requests. A guard that turns a request away costs no server anything and tells how full it is, so the next
  * choice knows more.
+ *
+ * @param begun whether the request is a call of one that already runs elsewhere.
  */
-class Placement {
+class Placement(
+    private val begun: Boolean,
+) {
     private val asked = HashSet<String>()
     private var full = 0
 
@@ -24,15 +28,18 @@
     /** Returns whether one more guard is asked after one turned the request away for [refusal]. */
     fun mayAskAnother(refusal: Refusal): Boolean {
         if (refusal != Refusal.OVERLOADED) return asked.size <= MAX_OTHERS
-        full++
-        return full <= MAX_OTHERS_AFTER_FULL
+        val most = if (begun) MAX_OTHERS_AFTER_FULL_BEGUN else MAX_OTHERS_AFTER_FULL
+        return ++full <= most
     }
 
     private companion object {
         /** Guards asked after the first one; each costs a round trip, and more than two rarely know better. */
         const val MAX_OTHERS = 3
 
-        /** Full guards asked after the first one: where two are full, the service is. */
+        /** Full guards asked after the first one for a new request, which loses little by coming back later. */
         const val MAX_OTHERS_AFTER_FULL = 1
+
+        /** The same for a call of a running request, whose refusal wastes the work above it. */
+        const val MAX_OTHERS_AFTER_FULL_BEGUN = 3
     }
 }
--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -38,7 +38,7 @@
 /**
  * Choice of a backend server, as one daemon makes it.
  *
- * Two servers of the nearest distance are drawn and the less loaded one is taken; a farther distance is used only when
+ * A few servers of the nearest distance are drawn and the least loaded one is taken; a farther distance is used only when
  * the draw is loaded beyond a threshold. Load is this daemon's own outstanding calls and the load carried on replies.
  * Servers that fail are ejected for a while, but never more than half of them.
  */
@@ -114,9 +114,8 @@
 
     private fun draw(candidates: List<Candidate>, nowMs: Long): RouteDecision.To? {
         if (candidates.isEmpty()) return null
-        val first = candidates[random.nextInt(candidates.size)]
-        val second = candidates[random.nextInt(candidates.size)]
-        return listOf(first, second).minBy { loadOf(it, nowMs) }.let { RouteDecision.To(it.daemon, it.distance, loadOf(it, nowMs)) }
+        val drawn = List(DRAWS) { candidates[random.nextInt(candidates.size)] }
+        return drawn.map { RouteDecision.To(it.daemon, it.distance, loadOf(it, nowMs)) }.minBy { it.load }
     }
 
     private fun loadOf(candidate: Candidate, nowMs: Long): Double {
@@ -138,8 +137,16 @@
     private fun stateOf(daemon: String) = servers.getOrPut(daemon) { ServerState() }
 
     private companion object {
-        const val SPILL_LOAD = 0.75
-        const val DISTANCE_PENALTY = 0.1
+        /** Load from which farther servers are looked at: a slot is free below it in a server of ten. */
+        const val SPILL_LOAD = 0.9
+
+        /** Load by which a server must be less full for each step of distance; answers from afar cost link bytes and time. */
+        const val DISTANCE_PENALTY = 0.2
+
+        /** Servers drawn; a third one finds a free one among the few of a failure domain much more often than two do. */
+        const val DRAWS = 3
+
+        /** Time for which the load on a reply counts, in milliseconds: a few service times of short calls. */
         const val REPORT_VALID_MS = 200L
 
         /** Weight of one outcome in the share of failures; twenty outcomes replace most of the past. */
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -47,7 +47,7 @@
         private val call: MeshCall,
         private val onDone: (MeshResult) -> Unit,
     ) {
-        private val placement = Placement()
+        private val placement = Placement(call.begun)
         private var cancelAttempt: () -> Unit = {}
         private var timer: Future<*>? = null
         private var done = false
--- a/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
@@ -165,7 +165,7 @@
             }
         }
         queue.after((deadlineMs - queue.nowMs).coerceAtLeast(0)) { finish(ReplayResult(false, null, 0)) }
-        place(from, kind, begun, deadlineMs, Placement(), { done }, finish)
+        place(from, kind, begun, deadlineMs, Placement(begun), { done }, finish)
     }
 
     private fun place(
