Learn from few calls that a service below is full

Cause: CallFeedback wanted five calls in 250 ms. Beside a server of a fleet of 95 daemons one or two calls are made in that time, so entry services never turned whole requests away there, and the work of a request was wasted when a call of it found no room. Ruled out: longer windows in any case, since recovery would slow down (an older test failed on it).

Change: too few calls with refused ones among them are gathered for up to 2 s.

CallFeedbackTest has the case; it failed before.

--- a/core/src/main/kotlin/wigeonreel/admission/CallFeedback.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/CallFeedback.kt
@@ -41,7 +41,8 @@
     }
 
     private fun roll(nowMs: Long) {
-        if (nowMs < windowEndsAtMs) return
+        val tooFew = refused > 0 && calls < LEAST_CALLS && nowMs < windowEndsAtMs + LONGEST_WINDOW_MS - WINDOW_MS
+        if (nowMs < windowEndsAtMs || tooFew) return
         windowEndsAtMs = nowMs + WINDOW_MS
         val part = if (calls >= LEAST_CALLS) refused.toDouble() / calls else 0.0
         share = if (part > TOLERATED) (share * (1.0 - part)).coerceAtLeast(LEAST_SHARE) else (share + RECOVERY).coerceAtMost(1.0)
@@ -53,6 +54,9 @@
         /** Time over which calls are counted, in milliseconds: longer than a request with its calls mostly takes. */
         const val WINDOW_MS = 250L
 
+        /** Time over which too few calls with refused ones are gathered, in milliseconds; in a large fleet a server makes few. */
+        const val LONGEST_WINDOW_MS = 2_000L
+
         /** Fewer calls in a window tell nothing. */
         const val LEAST_CALLS = 5
 
--- a/core/src/test/kotlin/wigeonreel/admission/CallFeedbackTest.kt
+++ b/core/src/test/kotlin/wigeonreel/admission/CallFeedbackTest.kt
@@ -50,6 +50,13 @@
         expectThat((9_000L..10_000L step 10).all { feedback.admits(false, it) }).isEqualTo(true)
     }
 
+    @Test
+    fun `a server of a large fleet that makes a few calls in a second learns from them too`() {
+        val feedback = CallFeedback()
+        for (nowMs in 0L..6_000L step 250) feedback.onCall(refusedForRoom = true, nowMs)
+        expectThat((6_000L..7_000L step 10).count { feedback.admits(false, it) }).isLessThan(50)
+    }
+
     private companion object {
         const val CALLS = 4
     }
