--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -263,6 +263,7 @@
 
         /** Time in which a daemon meets the whole fleet through its peers when the store is away, in milliseconds. */
         const val MEETING_MS = 3_000L
+
         /** Wait for the store to confirm this daemon's own row before the others are read all the same, in milliseconds. */
         const val UNCONFIRMED_SEEDS_MS = 1_500L
         const val SEEDS_ALONE_MS = 1_000L
@@ -276,4 +277,4 @@
         const val LEAVE_ROUNDS = 4
         const val LEAVE_SEND_MS = 50L
     }
-}
+}
--- a/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
@@ -142,7 +142,13 @@
         attempt(entry, kind, sentMs, if (impatient) IMPATIENT_RETRIES else 1, impatient)
     }
 
-    private fun attempt(entry: ReplayVm, kind: RequestKind, sentMs: Long, retries: Int, impatient: Boolean) {
+    private fun attempt(
+        entry: ReplayVm,
+        kind: RequestKind,
+        sentMs: Long,
+        retries: Int,
+        impatient: Boolean,
+    ) {
         send(entry, kind, false, sentMs + kind.deadlineMs) { result ->
             val leftMs = sentMs + kind.deadlineMs - queue.nowMs
             val pauseMs = if (impatient) 1L else result.retryAfterMs.toLong()
@@ -156,7 +162,13 @@
     }
 
     /** Sends a request from the daemon of [from]; [onDone] gets its result once, by its deadline. */
-    private fun send(from: ReplayVm, kind: RequestKind, begun: Boolean, deadlineMs: Long, onDone: (ReplayResult) -> Unit) {
+    private fun send(
+        from: ReplayVm,
+        kind: RequestKind,
+        begun: Boolean,
+        deadlineMs: Long,
+        onDone: (ReplayResult) -> Unit,
+    ) {
         var done = false
         val finish = { result: ReplayResult ->
             if (!done) {
@@ -200,7 +212,13 @@
         }
     }
 
-    private fun guard(vm: ReplayVm, kind: RequestKind, begun: Boolean, deadlineMs: Long, onReply: (ReplayReply) -> Unit) {
+    private fun guard(
+        vm: ReplayVm,
+        kind: RequestKind,
+        begun: Boolean,
+        deadlineMs: Long,
+        onReply: (ReplayReply) -> Unit,
+    ) {
         val nowMs = queue.nowMs
         val visit = ReplayVisit(kind, deadlineMs, onReply)
         if (vm.lost) return reply(vm, visit, false, Refusal.NO_SERVER)
@@ -236,7 +254,14 @@
         if (visit.kind.calls.isEmpty()) return queue.after(workMs) { end(vm, visit, true) }
         val startedMs = queue.nowMs
         callNext(vm, visit, 0) { ok ->
-            val leftMs = if (!ok) 0 else if (visit.kind.alongside) startedMs + workMs - queue.nowMs else workMs
+            val leftMs =
+                if (!ok) {
+                    0
+                } else if (visit.kind.alongside) {
+                    startedMs + workMs - queue.nowMs
+                } else {
+                    workMs
+                }
             queue.after(leftMs.coerceAtLeast(0)) { end(vm, visit, ok) }
         }
     }
