Let the large side of a cut fleet hold whole account limits

Cause: a pool held each limit by the part of the fleet that asks it, so a third of the daemons dead or cut off took a third of every limit away from the callers of the others. Ruled out: counting only daemons that are alive, since dead ones can't be told from ones that serve on behind a cut.

--- a/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenPool.kt
@@ -13,22 +13,25 @@
  * Pool of the account limits at the fleet's steward.
  *
  * Load pattern: the callers of one account are few, sit on few daemons and move between them; fixed shares refuse there
- * while the shares of other daemons lie idle. The pool holds as much of each limit as its part of the fleet: each daemon
- * counts at one steward, so the pools of a fleet that is cut in two never hold more than the limit together.
+ * while the shares of other daemons lie idle. The pool holds a part of each limit by the part of the fleet that asks it;
+ * each daemon counts at one steward, so the pools of a fleet that is cut apart hold little more than the limit together.
  */
 class TokenPool {
     private val heardAtMs = HashMap<String, Long>()
     private val buckets = HashMap<String, TokenBucket>()
     private var part = 0.0
     private var partSinceMs = 0L
+    private var largeSinceMs: Long? = null
 
     /** Hands out up to [wanted] tokens by account to [daemon], one of [daemons] in the fleet. */
     fun ask(daemon: String, wanted: Map<AccountConfig, Int>, daemons: Int, nowMs: Long): List<TokenGrant> {
         heardAtMs[daemon] = nowMs
         heardAtMs.values.removeIf { nowMs - it > COUNTED_MS }
-        val present = (heardAtMs.size.toDouble() / daemons.coerceAtLeast(1)).coerceAtMost(1.0)
-        if (present > part) partSinceMs = nowMs
-        part = present
+        val present = heardAtMs.size.toDouble() / daemons.coerceAtLeast(1)
+        largeSinceMs = if (present < MAJORITY) null else largeSinceMs ?: nowMs
+        val next = partOfLimit(present, settled = largeSinceMs?.let { nowMs - it >= SETTLED_MS } ?: false)
+        if (next > part) partSinceMs = nowMs
+        part = next
         return wanted.map { (account, tokens) -> grant(account, tokens, nowMs) }
     }
 
@@ -51,6 +54,9 @@
         /** Time for which a daemon counts after it was heard, in milliseconds: three reports. */
         const val COUNTED_MS = 1_500L
 
+        /** Time as the large side after which no other pool counts its daemons and tokens granted there have lapsed, in milliseconds. */
+        const val SETTLED_MS = 2_500L
+
         /** A pool can save up at least one request. */
         const val LEAST_BURST = 1.0
     }
--- a/scenario/src/test/kotlin/wigeonreel/replay/AccountReplayTest.kt
+++ b/scenario/src/test/kotlin/wigeonreel/replay/AccountReplayTest.kt
@@ -14,6 +14,7 @@
             "accounts-hot" to 0.95,
             "accounts-surge" to 0.95,
             "accounts-hot-surge" to 0.95,
+            "accounts-dead-surge" to 0.95,
             "accounts-hot-surge-small-fleet" to 0.95,
         ).map { (name, target) ->
             DynamicTest.dynamicTest(name) {
