Let peers use a backend server until shortly before its daemon ends

A daemon told its peers at once that it leaves, waited 2.5 s for its callers, and took about two more to start: two of the four servers of the deepest service were out of use for most of that time, and 1,395 tries ended with 503. Ruled out: the account limits (362 answers of 429), the feedback (as before on this site, where a server makes many calls).

A server beside a leaving daemon keeps its place in the view for that time.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -11,6 +11,9 @@
 import wigeonreel.control.DepartureRecord
 import wigeonreel.control.Publication
 import wigeonreel.daemon.Clock
+import wigeonreel.drain.GRACE_MARGIN_MS
+import wigeonreel.drain.LeaveStage
+import wigeonreel.drain.leaveStage
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
 import wigeonreel.http.HttpHandler
@@ -104,18 +107,16 @@
         events.changed("start", "id=${settings.id} incarnation=$incarnation service=${settings.place}")
     }
 
-    /** Leaves: tells callers and peers, goes on serving until nothing is open or the grace period ends, then stops. */
+    /** Leaves: tells callers and later peers, serves on until nothing is open or the grace period ends, then stops. */
     fun leaveAndStop() {
         val startedNs = System.nanoTime()
-        traffic.execute {
-            state.leaving = true
-            announce()
-        }
-        control.execute { fleet.leave(MemberState.LEAVING) }
+        traffic.execute { state.leaving = true }
         events.changed("stop", "leaving")
-        val quiet = await(startedNs) { sinceMs -> sinceMs > LEAVE_NOTICE_MS && open() == 0 }
+        awaitStage(startedNs, LeaveStage.PEERS_TOLD)
+        control.execute { fleet.leave(MemberState.LEAVING) }
+        awaitStage(startedNs, LeaveStage.DONE)
         traffic.execute { state.closing = true }
-        if (quiet) await(startedNs) { open() == 0 }
+        while (open() > 0 && sinceMs(startedNs) < settings.graceMs - GRACE_MARGIN_MS) Thread.sleep(STOP_POLL_MS)
         events.changed("stopped", "inFlight=${state.inFlight}")
         kernel.stop()
     }
@@ -126,16 +127,12 @@
     /** Requests that are being answered here or wait for the backend server beside this daemon. */
     private fun open(): Int = traffic.submit<Int> { state.inFlight + guard.waiting }.get()
 
-    /** Waits until [condition] holds; returns false when the grace period ends before. */
-    private fun await(startedNs: Long, condition: (sinceMs: Long) -> Boolean): Boolean {
-        while (true) {
-            val sinceMs = (System.nanoTime() - startedNs) / NS_PER_MS
-            if (condition(sinceMs)) return true
-            if (sinceMs > settings.graceMs - GRACE_MARGIN_MS) return false
-            Thread.sleep(STOP_POLL_MS)
-        }
+    private fun awaitStage(startedNs: Long, stage: LeaveStage) {
+        while (leaveStage(sinceMs(startedNs), open(), settings.graceMs) < stage) Thread.sleep(STOP_POLL_MS)
     }
 
+    private fun sinceMs(startedNs: Long) = (System.nanoTime() - startedNs) / NS_PER_MS
+
     private fun tick() {
         val nowMs = clock.nowMs()
         guard.sweep(nowMs)
@@ -241,12 +238,6 @@
         const val NS_PER_MS = 1_000_000L
         const val STOP_POLL_MS = 50L
 
-        /** Least time between the request to stop and the end: callers look at readiness once a second and want two misses. */
-        const val LEAVE_NOTICE_MS = 2_500L
-
-        /** Time before the end of the grace period at which the process stops by itself, in milliseconds. */
-        const val GRACE_MARGIN_MS = 300L
-
         /** Part of the fleet's ratio of repeats that daemons spend; repeats of a request repeat its calls too. */
         const val REPEAT_SHARE = 0.25
 
