--- a/core/src/main/kotlin/wigeonreel/drain/LeaveStage.kt
+++ b/core/src/main/kotlin/wigeonreel/drain/LeaveStage.kt
@@ -12,9 +12,12 @@
     DONE,
 }
 
-/** Time for which peers still send requests for the backend server, in milliseconds; the rest of the notice is for finishing them. */
+/** Longest time for which peers still send requests for the backend server, in milliseconds; the rest of the notice is for finishing them. */
 private const val PEERS_SERVED_MS = 1_500L
 
+/** Part of the grace period that this time may take. */
+private const val PEERS_SERVED_SHARE = 0.25
+
 /** Least time between the request to stop and the end, in milliseconds: callers ask for readiness each second and want two misses. */
 private const val CALLERS_NOTICE_MS = 2_500L
 
@@ -30,7 +33,7 @@
 fun leaveStage(sinceMs: Long, open: Int, graceMs: Long): LeaveStage =
     when {
         sinceMs >= graceMs - GRACE_MARGIN_MS -> LeaveStage.DONE
-        sinceMs < minOf(PEERS_SERVED_MS, graceMs / 4) -> LeaveStage.CALLERS_TOLD
+        sinceMs < minOf(PEERS_SERVED_MS, (graceMs * PEERS_SERVED_SHARE).toLong()) -> LeaveStage.CALLERS_TOLD
         sinceMs > CALLERS_NOTICE_MS && open == 0 -> LeaveStage.DONE
         else -> LeaveStage.PEERS_TOLD
     }
--- a/core/src/main/kotlin/wigeonreel/routing/Placement.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Placement.kt
@@ -33,7 +33,7 @@
     }
 
     private companion object {
-        /** Guards asked after the first one; each costs a round trip, and more than two rarely know better. */
+        /** Guards asked after the first one when they have no server; each costs a round trip. */
         const val MAX_OTHERS = 3
 
         /** Full guards asked after the first one for a new request, which loses little by coming back later. */
