--- a/core/src/main/kotlin/wigeonreel/limit/TokenStock.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenStock.kt
@@ -5,7 +5,13 @@
 /** Result of taking a token. */
 enum class Taken { YES, NO, ASK }
 
-/** One daemon's tokens of one account: what it asked of the pool ahead of need, kept for a short time. */
+/**
+ * One daemon's tokens of one account: what it asked of the pool ahead of need, kept for a short time.
+ *
+ * Load pattern: in a fleet of a hundred daemons and accounts, most accounts send one request in seconds to a daemon, and
+ * a token kept for the next one lapses unused while the account is refused elsewhere. Only steady demand is covered
+ * ahead; for the rest the pool is asked when a request comes.
+ */
 class TokenStock(
     startedAtMs: Long,
 ) {
@@ -34,7 +40,8 @@
 
     /** Closes a report interval; returns how many tokens to ask for ahead of need. */
     fun wanted(nowMs: Long): Int {
-        val latest = asked.toDouble() / (nowMs - measuredAtMs).coerceAtLeast(1)
+        // A stock begins with a request, so a shorter interval would take that one for steady demand.
+        val latest = asked / (nowMs - measuredAtMs).toDouble().coerceAtLeast(AHEAD_MS)
         demandPerMs += (latest - demandPerMs) * DEMAND_WEIGHT
         asked = 0
         measuredAtMs = nowMs
@@ -60,8 +67,8 @@
         /** Time whose demand is covered ahead, in milliseconds: one report interval. */
         const val AHEAD_MS = 500.0
 
-        /** Least expected requests in that time for which tokens are kept; rarer requests ask when they come. */
-        const val LEAST_DEMAND = 0.7
+        /** Least expected requests in that time for which tokens are kept, so that all but one in fifty are used before they lapse. */
+        const val LEAST_DEMAND = 2.0
 
         /** Time for which unused tokens are kept, in milliseconds. */
         const val KEPT_MS = 1_000L
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -10,6 +10,7 @@
 import wigeonreel.peer.PeerClients
 import wigeonreel.peer.PeerFailure
 import wigeonreel.retry.RepeatBudget
+import wigeonreel.routing.Placement
 import wigeonreel.routing.RouteDecision
 import wigeonreel.routing.Router
 import wigeonreel.traffic.refusalKind
@@ -46,7 +47,7 @@
         private val call: MeshCall,
         private val onDone: (MeshResult) -> Unit,
     ) {
-        private val tried = HashSet<String>()
+        private val placement = Placement()
         private var cancelAttempt: () -> Unit = {}
         private var timer: Future<*>? = null
         private var done = false
@@ -85,14 +86,14 @@
         private fun place(otherwise: Refusal) {
             val view = state.view ?: return refuse(Refusal.ISOLATED)
             val nowMs = clock.nowMs()
-            val decision = router.choose(view.candidatesOf(call.service), tried, nowMs)
+            val decision = router.choose(view.candidatesOf(call.service), placement.tried, nowMs)
             val member = (decision as? RouteDecision.To)?.let { view.member(it.daemon) }
-            events.placed(call, decision, tried.size)
+            events.placed(call, decision, placement.tried.size)
             if (member == null) refuse(otherwise) else attempt(member, nowMs)
         }
 
         private fun attempt(member: Member, nowMs: Long) {
-            tried += member.id
+            placement.onAsked(member.id)
             val message = call.toAttempt("$selfId-${++attempts}", nowMs)
             router.onSent(member.id)
             underWay = true
@@ -130,8 +131,7 @@
         /** A guard's refusal costs no server anything; all else is a repeat and needs budget. */
         private fun onRefused(refusal: Refusal, member: Member) {
             if (refusal in TURNED_AWAY) {
-                val most = if (refusal == Refusal.OVERLOADED) MAX_FULL_PLACEMENTS else MAX_PLACEMENTS
-                if (tried.size <= most) place(refusal) else refuse(refusal)
+                if (placement.mayAskAnother(refusal)) place(refusal) else refuse(refusal)
                 return
             }
             arrivals++
@@ -158,7 +158,7 @@
                 state.view
                     ?.candidatesOf(call.service)
                     .orEmpty()
-                    .any { it.daemon !in tried }
+                    .any { it.daemon !in placement.tried }
             val repeatable = !call.atMostOnce || !mayHaveRun
             return repeatable && another && arrivals < call.route.attempts && leftMs > MIN_REPEAT_MS && budget.tryRepeat(call.service)
         }
@@ -183,12 +183,6 @@
     private companion object {
         const val SERVER_ERROR = 500
 
-        /** Guards asked after the first one; each costs a round trip, and more than two rarely know better. */
-        const val MAX_PLACEMENTS = 3
-
-        /** Full guards asked after the first one: where two are full, the service is. */
-        const val MAX_FULL_PLACEMENTS = 1
-
         /** Time after the deadline for a reply under way, in milliseconds. */
         const val REPLY_MARGIN_MS = 50L
 
--- a/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
@@ -5,18 +5,25 @@
 import wigeonreel.command.ExitCode
 import wigeonreel.command.argParser
 import wigeonreel.command.fail
+import wigeonreel.replay.AccountReplay
+import wigeonreel.replay.LoadShapes
+import wigeonreel.replay.MeshReplay
 
 private const val LARGEST = 400
 
 /** Runs `wigeon-bench`: benchmarks of the decisions on virtual time. */
 fun main(args: Array<String>) {
     val parser = argParser("wigeon-bench", args)
-    val name by parser.argument(ArgType.String, description = "fleet or overload")
+    val name by parser.argument(ArgType.String, description = "fleet, overload or replay")
     val seed by parser.option(ArgType.Int, fullName = "seed", description = "Seed of the run").default(1)
     parser.parse(args)
     when (name) {
         "fleet" -> FleetBench(seed.toLong()).run(listOf(25, 100, LARGEST))
+        "replay" -> {
+            LoadShapes.all.forEach { println(MeshReplay(it, seed.toLong()).run().report()) }
+            AccountReplay.LOADS.forEach { println(AccountReplay(it, seed.toLong()).run()) }
+        }
         "overload" -> OverloadBench(seed.toLong()).run()
-        else -> fail(ExitCode.USAGE, "wigeon-bench: no benchmark is named '$name'; name fleet or overload")
+        else -> fail(ExitCode.USAGE, "wigeon-bench: no benchmark is named '$name'; name fleet, overload or replay")
     }
 }
