Judge servers by settled service times only; take back the shorter token waits

The first requests of a cold daemon take many times as long as later ones; one such sample made a mean that slowed decisions for twenty more. A refusal by a guard that comes at once no longer leaves the cancellation of the next attempt pointing at the first.

--- a/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
@@ -101,8 +101,8 @@
     /** Returns the expected wait of a new request of the lowest priority, in milliseconds. */
     fun expectedWaitMs(): Double = if (running.size < limit) 0.0 else backlogMs() / limit
 
-    /** Returns the mean service time of requests of [route] at this server, in milliseconds, or null before the first one. */
-    fun serviceMs(route: String): Double? = times.sampledMeanMs(route)
+    /** Returns the mean service time of requests of [route] at this server, in milliseconds, or null before it is settled. */
+    fun serviceMs(route: String): Double? = times.settledMeanMs(route)
 
     /** Starts, queues or refuses [arrival]. */
     fun arrive(arrival: Arrival, nowMs: Long): ArrivalResult {
@@ -171,7 +171,7 @@
 
     /** Returns whether the server is too slow to answer [arrival] in time, except for one request of its route once in a while. */
     private fun isTooSlow(arrival: Arrival, nowMs: Long): Boolean {
-        val serviceMs = times.sampledMeanMs(arrival.route) ?: return false
+        val serviceMs = times.settledMeanMs(arrival.route) ?: return false
         return nowMs + serviceMs > arrival.deadlineMs && nowMs - (startedAtMs[arrival.route] ?: 0) < PROBE_INTERVAL_MS
     }
 
--- a/core/src/main/kotlin/wigeonreel/limit/TokenStock.kt
+++ b/core/src/main/kotlin/wigeonreel/limit/TokenStock.kt
@@ -18,7 +18,6 @@
     private var tokens = 0
     private var expiresAtMs = 0L
     private var refusedUntilMs = 0L
-    private var availableAtMs = 0L
     private var requests = 0
     private var demandPerMs = 0.0
     private var measuredAtMs = startedAtMs
@@ -56,13 +55,12 @@
         tokens += grant.tokens
         if (grant.tokens > 0) expiresAtMs = nowMs + TOKEN_TTL_MS
         if (grant.tokens == 0 && grant.retryAfterMs > 0) {
-            refusedUntilMs = nowMs + grant.retryAfterMs.coerceIn(MIN_RETRY_AFTER_MS, MAX_LOCAL_REFUSAL_MS)
-            availableAtMs = nowMs + grant.retryAfterMs
+            refusedUntilMs = nowMs + grant.retryAfterMs.coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
         }
     }
 
     /** Returns the time after which a refused request may be within the limit again, in milliseconds. */
-    fun retryAfterMs(nowMs: Long): Int = (availableAtMs - nowMs).toInt().coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+    fun retryAfterMs(nowMs: Long): Int = (refusedUntilMs - nowMs).toInt().coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
 
     private companion object {
         /** Weight of the latest report interval in the moving average of the demand. */
@@ -77,9 +75,6 @@
         /** Time after which unused tokens expire, in milliseconds. */
         const val TOKEN_TTL_MS = 1_000L
         const val MIN_RETRY_AFTER_MS = 30
-
-        /** Maximum time for which requests are refused without asking the pool, in milliseconds; a pool that has just started grants more soon. */
-        const val MAX_LOCAL_REFUSAL_MS = 100
         const val MAX_RETRY_AFTER_MS = 500
     }
 }
--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -13,7 +13,7 @@
 /**
  * What a guard reports of its server on each reply.
  *
- * @param serviceMs mean service time of the route of the request, in milliseconds, or null before the first sample.
+ * @param serviceMs mean service time of the route of the request, in milliseconds, or null before it is settled.
  * @param offeredLoad demand as a multiple of the capacity.
  */
 data class ServerReport(
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -169,7 +169,6 @@
             if (snapshot.changed && configuration != null) {
                 val before = state.view?.configuration?.version
                 state.view = FleetView(snapshot.self, snapshot.members, configuration)
-                if (before == null) quota.onFleetKnown()
                 if (before != configuration.version) events.changed("config", "version=${configuration.version} before=$before")
                 peers.retain(snapshot.liveAddresses)
                 router.retain(snapshot.members.mapTo(HashSet()) { it.id })
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshQuota.kt
@@ -79,9 +79,6 @@
         return TokenGrants.newBuilder().addAllGrants(grants.map { it.toWire() }).build()
     }
 
-    /** Requests to be counted by the coordinator; called as soon as the fleet is known, since a pool grants by the daemons that it counts. */
-    fun onFleetKnown() = reportDemand()
-
     /** Prefetches tokens; the token request is sent even without demand, since the coordinator counts the daemons that send one. */
     private fun reportDemand() {
         val nowMs = clock.nowMs()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -115,7 +115,9 @@
             attemptPending = true
             currentAttemptId = message.attemptId
             startAttemptTimer(member, nowMs)
-            cancelAttempt = if (member.id == selfId) forwardHere(member, message) else forwardToPeer(member, message)
+            val cancel = if (member.id == selfId) forwardHere(member, message) else forwardToPeer(member, message)
+            // A refusal that comes at once has started the next attempt already.
+            if (currentAttemptId == message.attemptId) cancelAttempt = cancel
         }
 
         private fun forwardToPeer(member: Member, message: ForwardRequest) =
--- a/wire/src/main/java/wigeonreel/wire/ForwardReply.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReply.java
@@ -485,7 +485,7 @@
   private float serviceMs_ = 0F;
   /**
    * <pre>
-   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before it is settled.
    * </pre>
    *
    * <code>float service_ms = 19;</code>
@@ -3028,7 +3028,7 @@
     private float serviceMs_ ;
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before it is settled.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
@@ -3040,7 +3040,7 @@
     }
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before it is settled.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
@@ -3056,7 +3056,7 @@
     }
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before it is settled.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
--- a/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
@@ -266,7 +266,7 @@
 
   /**
    * <pre>
-   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before it is settled.
    * </pre>
    *
    * <code>float service_ms = 19;</code>
