Settle service times before the lost answers of MeshRetryTest

Change: the test waits until both servers have served more than ten reads; what it expects is unchanged.

--- a/standin/src/test/kotlin/wigeonreel/standin/MeshRetryTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshRetryTest.kt
@@ -30,8 +30,10 @@
                 """"services":[{"name":"front"},{"name":"back"}],"limits":{},""" +
                 """"tenants":[{"name":"t","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]}""",
         )
-        fleet.await("both servers answer") {
-            send("/read/x", "GET") == 200 && send("/book/x", "POST") == 200 && servers.all { it.received.isNotEmpty() }
+        fleet.await("the service answers") { send("/read/x", "GET") == 200 && send("/book/x", "POST") == 200 }
+        fleet.await("the service times of both servers are settled") {
+            send("/read/x", "GET")
+            servers.all { server -> server.received.count { it.uri == "/read/x" } > SETTLED_READS }
         }
     }
 
@@ -59,4 +61,9 @@
         expectThat(sendWithLostAnswer("/read/x", "GET")).isEqualTo(200 to 2)
         expectThat(sendWithLostAnswer("/book/x", "POST")).isEqualTo(504 to 1)
     }
+
+    private companion object {
+        /** Requests after which a daemon reports its server's mean service time. */
+        const val SETTLED_READS = 10
+    }
 }
