--- a/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
@@ -10,6 +10,8 @@
  * @param priority rank of the request; 0 is the most urgent.
  * @param deadlineMs time after which the caller no longer accepts an answer.
  * @param objectiveMs response time up to which an answer has its full value, in milliseconds.
+ * @param representedRequests number of requests that this one stands for: itself and its share of those that entry points
+ *   shed; 0 if it was counted at another guard already.
  */
 data class Arrival(
     val route: String,
@@ -17,6 +19,7 @@
     val priority: Int,
     val deadlineMs: Long,
     val objectiveMs: Long,
+    val representedRequests: Double = 1.0,
 )
 
 /** Handle of an [arrival] that is running or queued. */
@@ -70,7 +73,9 @@
     private val times = ServiceTimes()
     private val waiting = sortedSetOf(compareBy<Ticket>({ !it.arrival.nested }, { it.arrival.priority }, { it.order }))
     private val running = HashSet<Ticket>()
+    private val offered = OfferedLoad()
     private var nextOrder = 0L
+    private val startedAtMs = HashMap<String, Long>()
 
     /** Sum of the expected service times of the running requests, in milliseconds; maintained incrementally, since each answer needs it. */
     private var runningMs = 0.0
@@ -85,6 +90,9 @@
     /** Number of requests queued for a slot. */
     val waitingCount: Int get() = waiting.size
 
+    /** Demand for this server as a multiple of its capacity. */
+    val offeredLoad: Double get() = offered.ratio + waitingMs() / (limit * BACKLOG_DRAIN_MS)
+
     /** Updates the number of declared [slots]. */
     fun updateSlots(slots: Int) {
         limit = limitOf(slots)
@@ -93,12 +101,18 @@
     /** Returns the expected wait of a new request of the lowest priority, in milliseconds. */
     fun expectedWaitMs(): Double = if (running.size < limit) 0.0 else backlogMs() / limit
 
+    /** Returns the mean service time of requests of [route] at this server, in milliseconds. */
+    fun serviceMs(route: String): Double = times.meanMs(route)
+
     /** Starts, queues or refuses [arrival]. */
     fun arrive(arrival: Arrival, nowMs: Long): ArrivalResult {
         if (arrival.deadlineMs <= nowMs) return ArrivalResult(Admission.Refuse(Refusal.DEADLINE_PASSED, 0), emptyList())
+        offered.update(limit, nowMs)
+        offered.onArrival(arrival.representedRequests, times.meanMs(arrival.route))
+        if (isTooSlow(arrival, nowMs)) return ArrivalResult(Admission.Refuse(Refusal.OVERLOADED, retryAfterMs()), emptyList())
         val ticket = Ticket(arrival, nowMs, nextOrder++)
         if (running.size < limit && waiting.isEmpty()) {
-            start(ticket)
+            start(ticket, nowMs)
             return ArrivalResult(Admission.Run(ticket), emptyList())
         }
         waiting += ticket
@@ -110,13 +124,14 @@
     /**
      * Ends a running request and returns the queued requests that start now.
      *
-     * @param elapsedMs service time in milliseconds, or null if the request was not served.
+     * @param elapsedMs service time in milliseconds, that until the timeout if there was no answer; null if it says nothing about
+     *   the server.
      */
-    fun finish(ticket: Ticket, elapsedMs: Double?): List<Ticket> {
+    fun finish(ticket: Ticket, elapsedMs: Double?, nowMs: Long): List<Ticket> {
         if (running.remove(ticket)) runningMs -= ticket.expectedMs
         if (running.isEmpty()) runningMs = 0.0
         if (elapsedMs != null) times.record(ticket.arrival.route, elapsedMs)
-        return startNext()
+        return startNext(nowMs)
     }
 
     /** Removes a queued request. Returns whether it was queued. */
@@ -127,6 +142,7 @@
 
     /** Removes and returns the queued requests that are expected to miss their deadline or to exceed their maximum wait. */
     fun shedLate(nowMs: Long): List<Ticket> {
+        offered.update(limit, nowMs)
         if (waiting.isEmpty()) return emptyList()
         val dropped = mutableListOf<Ticket>()
         var aheadMs = runningMs * REMAINING_SHARE
@@ -153,23 +169,30 @@
         return missesDeadline || nowMs - ticket.arrivedAtMs + waitMs > maxWaitMs
     }
 
-    private fun startNext(): List<Ticket> {
+    /** Returns whether the server is too slow to answer [arrival] in time, except for one request of its route once in a while. */
+    private fun isTooSlow(arrival: Arrival, nowMs: Long): Boolean =
+        nowMs + times.meanMs(arrival.route) > arrival.deadlineMs && nowMs - (startedAtMs[arrival.route] ?: 0) < PROBE_INTERVAL_MS
+
+    private fun startNext(nowMs: Long): List<Ticket> {
         val started = mutableListOf<Ticket>()
         while (running.size < limit) {
             val next = waiting.pollFirst() ?: break
-            start(next)
+            start(next, nowMs)
             started += next
         }
         return started
     }
 
-    private fun start(ticket: Ticket) {
+    private fun start(ticket: Ticket, nowMs: Long) {
+        startedAtMs[ticket.arrival.route] = nowMs
         ticket.expectedMs = times.meanMs(ticket.arrival.route)
         running += ticket
         runningMs += ticket.expectedMs
     }
 
-    private fun backlogMs(): Double = runningMs * REMAINING_SHARE + waiting.sumOf { times.meanMs(it.arrival.route) }
+    private fun backlogMs(): Double = runningMs * REMAINING_SHARE + waitingMs()
+
+    private fun waitingMs(): Double = waiting.sumOf { times.meanMs(it.arrival.route) }
 
     private fun limitOf(slots: Int) = (slots * USABLE_SLOT_SHARE).toInt().coerceAtLeast(1)
 
@@ -177,6 +200,9 @@
         /** Share of the declared slots that is used; nearly full servers slow down, and health probes occupy a slot. */
         const val USABLE_SLOT_SHARE = 0.95
 
+        /** Time in which the queue should drain, in milliseconds; requests that are queued count as demand of that time. */
+        const val BACKLOG_DRAIN_MS = 300.0
+
         /** Average remaining share of a running request's service time. */
         const val REMAINING_SHARE = 0.5
 
@@ -186,6 +212,9 @@
         /** Maximum wait of a nested call as a share of its objective. */
         const val NESTED_MAX_WAIT_SHARE = 1.0
 
+        /** Time after which a server that is too slow gets a request that shows whether it still is, in milliseconds. */
+        const val PROBE_INTERVAL_MS = 300L
+
         /** Factor on the expected wait after which callers should retry, so that the current backlog has drained by then. */
         const val RETRY_AFTER_FACTOR = 2.0
         const val MIN_RETRY_AFTER_MS = 200
--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -10,6 +10,19 @@
     val slots: Int,
 )
 
+/**
+ * What a guard reports of its server on each reply.
+ *
+ * @param serviceMs mean service time of the route of the request, in milliseconds.
+ * @param offeredLoad demand as a multiple of the capacity.
+ * @param failureRate share of the latest requests that the server did not answer or answered with an error of its own.
+ */
+data class ServerReport(
+    val serviceMs: Double,
+    val offeredLoad: Double,
+    val failureRate: Double,
+)
+
 private const val HUNDREDTHS = 100.0
 
 /** Result of a routing decision. */
@@ -54,18 +67,22 @@
         var ejectedUntilMs = 0L
         var failureRate = 0.0
         var lastOutcomeAtMs = 0L
+        var offeredLoad = 0.0
+        var reportedFailureRate = 0.0
+        val serviceMs = HashMap<String, Double>()
     }
 
     private val servers = HashMap<String, ServerState>()
 
-    /** Chooses one of [candidates] that is not in [tried]. */
-    fun choose(candidates: List<Candidate>, tried: Set<String>, nowMs: Long): RouteDecision {
+    /** Chooses one of [candidates] that is not in [tried], by the service times of [route] if replies report them. */
+    fun choose(candidates: List<Candidate>, tried: Set<String>, nowMs: Long, route: String = ""): RouteDecision {
+        val usualMs = usualServiceMs(route, candidates)
         val usable = candidates.filter { it.daemon !in tried }
         val healthy = usable.filter { stateOf(it.daemon).ejectedUntilMs <= nowMs }
         val eligible = if (healthy.size * 2 >= usable.size) healthy else usable
         var best: RouteDecision.To? = null
         for (distance in Distance.entries) {
-            val sampled = sample(eligible.filter { it.distance == distance }, nowMs) ?: continue
+            val sampled = sample(eligible.filter { it.distance == distance }, nowMs) { slownessPenalty(it, route, usualMs, nowMs) } ?: continue
             if (best == null || sampled.load + penalty(distance) < best.load + penalty(best.distance)) best = sampled
             if (best.load < SPILL_LOAD) break
         }
@@ -78,14 +95,30 @@
     }
 
     /** Ends a call with a reply that carries the number of requests [inFlight] at the server and their [limit]. */
-    fun onReply(daemon: String, inFlight: Int, limit: Int, nowMs: Long) {
+    fun onReply(
+        daemon: String,
+        inFlight: Int,
+        limit: Int,
+        nowMs: Long,
+        offeredLoad: Double = 0.0,
+    ) {
         val state = stateOf(daemon)
+        state.offeredLoad = offeredLoad
         state.outstanding--
         state.failures = 0
         state.reportedLoad = inFlight.toDouble() / limit.coerceAtLeast(1)
         state.reportedAtMs = nowMs
     }
 
+    /** Updates what a reply reports of the server beside [daemon]; [ServerReport.serviceMs] counts for [route]. */
+    fun onReport(daemon: String, route: String, report: ServerReport) {
+        val state = stateOf(daemon)
+        state.offeredLoad = report.offeredLoad
+        state.reportedFailureRate = report.failureRate
+        if (state.serviceMs.size >= MAX_ROUTES) state.serviceMs.clear()
+        state.serviceMs[route] = report.serviceMs
+    }
+
     /** Ends a call that got no reply; consecutive failures eject the server. */
     fun onFailure(daemon: String, nowMs: Long) {
         val state = stateOf(daemon)
@@ -108,15 +141,26 @@
         stateOf(daemon).outstanding--
     }
 
+    /** Returns the mean offered load of those [candidates] that replied lately, weighed by their slots; 0 if none did. */
+    fun offeredLoad(candidates: List<Candidate>, nowMs: Long): Double {
+        val known =
+            candidates.filter { candidate ->
+                servers[candidate.daemon]?.let { nowMs - it.reportedAtMs < OFFERED_LOAD_VALID_MS }
+                    ?: false
+            }
+        val slots = known.sumOf { it.slots }
+        return if (slots == 0) 0.0 else known.sumOf { stateOf(it.daemon).offeredLoad * it.slots } / slots
+    }
+
     /** Removes the state of servers that are not in [known] and have no outstanding calls. */
     fun retain(known: Set<String>) {
         servers.entries.removeIf { it.key !in known && it.value.outstanding == 0 }
     }
 
-    private fun sample(candidates: List<Candidate>, nowMs: Long): RouteDecision.To? {
+    private fun sample(candidates: List<Candidate>, nowMs: Long, penalty: (Candidate) -> Double): RouteDecision.To? {
         if (candidates.isEmpty()) return null
         val sampled = List(SAMPLE_SIZE) { candidates[random.nextInt(candidates.size)] }
-        return sampled.map { RouteDecision.To(it.daemon, it.distance, loadOf(it, nowMs)) }.minBy { it.load }
+        return sampled.map { RouteDecision.To(it.daemon, it.distance, loadOf(it, nowMs) + penalty(it)) }.minBy { it.load }
     }
 
     private fun loadOf(candidate: Candidate, nowMs: Long): Double {
@@ -124,7 +168,25 @@
         val own = state.outstanding.toDouble() / candidate.slots.coerceAtLeast(1)
         val fresh = nowMs - state.reportedAtMs < REPORT_VALID_MS
         val load = if (fresh) maxOf(own, state.reportedLoad) else own
-        return load + (decayedFailureRate(state, nowMs) - TOLERATED_FAILURE_RATE).coerceAtLeast(0.0) * FAILURE_PENALTY
+        return load + (failureRate(state, nowMs) - TOLERATED_FAILURE_RATE).coerceAtLeast(0.0) * FAILURE_PENALTY
+    }
+
+    /** Greater of the failure rates that this daemon saw and that the guard beside the server reported. */
+    private fun failureRate(state: ServerState, nowMs: Long): Double {
+        val age = (nowMs - state.reportedAtMs).toDouble() / FAILURE_DECAY_MS
+        return maxOf(decayedFailureRate(state, nowMs), state.reportedFailureRate * (1.0 - age).coerceIn(0.0, 1.0))
+    }
+
+    /** Returns the least mean service time of [route] that one of [candidates] reported, in milliseconds; 0 if none did. */
+    private fun usualServiceMs(route: String, candidates: List<Candidate>): Double =
+        candidates.minOfOrNull { servers[it.daemon]?.serviceMs?.get(route) ?: Double.MAX_VALUE }?.takeIf { it < Double.MAX_VALUE } ?: 0.0
+
+    /** Load added for a server that takes longer than [usualMs], reduced linearly with the age of its report. */
+    private fun slownessPenalty(candidate: Candidate, route: String, usualMs: Double, nowMs: Long): Double {
+        val state = servers[candidate.daemon] ?: return 0.0
+        val serviceMs = state.serviceMs[route] ?: return 0.0
+        val age = (nowMs - state.reportedAtMs).toDouble() / SERVICE_TIME_VALID_MS
+        return (serviceMs / usualMs.coerceAtLeast(1.0) - 1.0).coerceIn(0.0, MAX_SLOWNESS) * SLOWNESS_PENALTY * (1.0 - age).coerceIn(0.0, 1.0)
     }
 
     /** Failure rate, reduced linearly with its age, so that a server without recent requests is tried again. */
@@ -150,6 +212,19 @@
         /** Time for which the load carried on a reply is used, in milliseconds; a few service times of short calls. */
         const val REPORT_VALID_MS = 200L
 
+        /** Time in which the report of a slow server loses its effect, in milliseconds, so that the server is tried again. */
+        const val SERVICE_TIME_VALID_MS = 3_000.0
+
+        /** Load added per multiple of the usual service time; one three times as slow is as far as one in the next domain. */
+        const val SLOWNESS_PENALTY = 0.1
+        const val MAX_SLOWNESS = 20.0
+
+        /** Number of routes above which the service times of a server are reset, so that the map stays bounded. */
+        const val MAX_ROUTES = 2_000
+
+        /** Time for which the offered load carried on a reply is used, in milliseconds. */
+        const val OFFERED_LOAD_VALID_MS = 2_000L
+
         /** Weight of one outcome in the failure rate; twenty outcomes make up most of it. */
         const val FAILURE_WEIGHT = 0.05
 
--- a/core/src/test/kotlin/wigeonreel/admission/AdmissionQueueTest.kt
+++ b/core/src/test/kotlin/wigeonreel/admission/AdmissionQueueTest.kt
@@ -39,7 +39,7 @@
         val order = mutableListOf<Ticket>()
         var finished = running.first()
         repeat(waiting.size) {
-            val next = queue.finish(finished, 1.0).single()
+            val next = queue.finish(finished, 1.0, 0).single()
             order += next
             finished = next
         }
@@ -49,7 +49,7 @@
     @Test
     fun `a request that can't meet its deadline is refused on arrival`() {
         val queue = AdmissionQueue(1)
-        queue.finish(queue.fill(1).single(), 400.0)
+        queue.finish(queue.fill(1).single(), 400.0, 0)
         queue.fill(1)
         val result = queue.arrive(arrival(deadlineMs = 500), 0)
         expectThat(result.admission).isA<Admission.Refuse>().get { refusal }.isEqualTo(Refusal.OVERLOADED)
@@ -58,7 +58,7 @@
     @Test
     fun `an arrival of higher priority displaces a queued request that would then exceed its maximum wait`() {
         val queue = AdmissionQueue(1)
-        queue.finish(queue.fill(1).single(), 150.0)
+        queue.finish(queue.fill(1).single(), 150.0, 0)
         queue.fill(1)
         val lowPriority = (queue.arrive(arrival(priority = 2), 0).admission as Admission.Wait).ticket
         val result = queue.arrive(arrival(priority = 0), 0)
@@ -72,7 +72,7 @@
         val running = queue.fill(1).single()
         val waiting = (queue.arrive(arrival(), 0).admission as Admission.Wait).ticket
         expectThat(queue.cancel(waiting)).isTrue()
-        expectThat(queue.finish(running, 1.0)).isEmpty()
+        expectThat(queue.finish(running, 1.0, 0)).isEmpty()
     }
 
     @Test
@@ -101,7 +101,7 @@
             for (ticket in finished) {
                 running.remove(ticket)
                 if (ticket.arrival.nested) served.nested++ else served.newRequests++
-                queue.finish(ticket, if (ticket.arrival.nested) 30.0 else 480.0).forEach { running[it] = nowMs + serviceMs(it, random) }
+                queue.finish(ticket, if (ticket.arrival.nested) 30.0 else 480.0, nowMs).forEach { running[it] = nowMs + serviceMs(it, random) }
             }
             if (random.nextDouble() < 0.6) {
                 served.nestedOffered++
@@ -144,7 +144,7 @@
     fun `the expected wait of queued new requests stays within a quarter of their objective`() {
         val queue = AdmissionQueue(4)
         val running = queue.fill(queue.limit)
-        running.drop(1).forEach { queue.finish(it, 100.0) }
+        running.drop(1).forEach { queue.finish(it, 100.0, 0) }
         queue.fill(queue.limit - 1)
         repeat(50) { queue.arrive(arrival(), 0) }
         expectThat(queue.waitingCount * 100 / queue.limit).isLessThanOrEqualTo(250)
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshCall.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshCall.kt
@@ -1,6 +1,9 @@
 package wigeonreel.mesh
 
 import com.google.protobuf.ByteString
+import wigeonreel.admission.Arrival
+import wigeonreel.admission.ServiceLoad
+import wigeonreel.admission.ServiceUse
 import wigeonreel.config.AccountConfig
 import wigeonreel.config.Harm
 import wigeonreel.config.RouteConfig
@@ -16,6 +19,7 @@
  * @param headers headers for the backend server.
  * @param fromBackend whether the local backend server makes this call.
  * @param deadlineMs time by which the caller receives the final response, in milliseconds.
+ * @param representedRequests number of requests that this one stands for; see [Arrival.representedRequests].
  */
 class MeshCall(
     val request: CallerRequest,
@@ -26,13 +30,19 @@
     val fromBackend: Boolean,
     val arrivedAtMs: Long,
     val deadlineMs: Long,
+    val representedRequests: Double = 1.0,
 ) {
     val atMostOnce: Boolean get() = route.harm == Harm.AT_MOST_ONCE
 
-    private val priority: Int get() = account?.priority ?: route.priority
+    /** Rank by the priority of the account, if it has one, and then of the route; 0 is the most urgent. */
+    val priority: Int
+        get() = (account?.priority ?: route.priority) * ROUTE_PRIORITIES + route.priority.coerceIn(0, ROUTE_PRIORITIES - 1)
+
+    /** Returns this call as one that stands for [requests] requests. */
+    fun representing(requests: Double) = MeshCall(request, route, service, account, headers, fromBackend, arrivedAtMs, deadlineMs, requests)
 
     /** Returns the message for one attempt, with the time left until the deadline as its timeout. */
-    fun toForwardRequest(attemptId: String, nowMs: Long): ForwardRequest =
+    fun toForwardRequest(attemptId: String, firstAttempt: Boolean, nowMs: Long): ForwardRequest =
         ForwardRequest
             .newBuilder()
             .setAttemptId(attemptId)
@@ -49,7 +59,13 @@
             .setAtMostOnce(atMostOnce)
             .setObjectiveMs(route.objectiveMs.toInt())
             .setRoute(route.name)
+            .setRepresentedRequests(if (firstAttempt) representedRequests.toFloat() else 0f)
             .build()
+
+    private companion object {
+        /** Number of route priorities that are told apart. */
+        const val ROUTE_PRIORITIES = 16
+    }
 }
 
 /** Final result of a [MeshCall]. */
@@ -65,3 +81,9 @@
         val retryAfterMs: Int,
     ) : MeshResult
 }
+
+/** What a call used of the services below it, and how loaded these are. */
+class CallUsage(
+    val uses: List<ServiceUse>,
+    val loads: List<ServiceLoad>,
+)
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -74,7 +74,7 @@
         )
     private val quota = kernel.register(MeshQuota(traffic, settings.id, state, peers, clock, ::onUnreachable))
     private val entry =
-        kernel.register(MeshEntry(state, platform.callers, quota, sender, guard::onBackendCall, events, clock))
+        kernel.register(MeshEntry(state, platform.callers, quota, sender, guard, events, clock))
     private val table = platform.connectTable(control)
     private val departures = DepartureRecord(control, table, settings.id)
     private val fleet =
@@ -169,6 +169,7 @@
             if (snapshot.changed && configuration != null) {
                 val before = state.view?.configuration?.version
                 state.view = FleetView(snapshot.self, snapshot.members, configuration)
+                if (before == null) quota.onFleetKnown()
                 if (before != configuration.version) events.changed("config", "version=${configuration.version} before=$before")
                 peers.retain(snapshot.liveAddresses)
                 router.retain(snapshot.members.mapTo(HashSet()) { it.id })
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -6,6 +6,7 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import arrow.core.right
+import wigeonreel.admission.EntryThrottle
 import wigeonreel.config.AccountConfig
 import wigeonreel.config.Configuration
 import wigeonreel.config.RouteConfig
@@ -27,13 +28,14 @@
     private val protocol: CallerProtocol,
     private val quota: MeshQuota,
     private val sender: MeshSender,
-    private val onBackendCall: (overloaded: Boolean) -> Unit,
+    private val guard: MeshGuard,
     private val events: MeshEvents,
     private val clock: Clock,
 ) : Service,
     HttpHandler {
     override val name = "entry"
     private val split = WeightedSplit()
+    private val throttle = EntryThrottle()
 
     override fun handle(exchange: HttpExchange) {
         val nowMs = clock.nowMs()
@@ -49,14 +51,14 @@
         validate(request, nowMs).fold({ refuse(exchange, request, it) }, { admit(exchange, it) })
 
     private fun admit(exchange: HttpExchange, call: MeshCall) {
-        val account = call.account ?: return send(exchange, call)
+        val account = call.account ?: return sendBackendCall(exchange, call)
         var aborted = false
         exchange.onAbort { aborted = true }
         quota.admit(account) { withinLimit ->
             when {
                 aborted && withinLimit -> quota.refund(account)
                 aborted -> Unit
-                withinLimit -> send(exchange, call)
+                withinLimit -> sendClientRequest(exchange, call, account)
                 else -> refuse(exchange, call.request, Refusal.OVER_RATE, quota.retryAfterMs(account), account)
             }
         }
@@ -82,11 +84,32 @@
             else -> Refusal.KEY_MISSING.left()
         }
 
-    private fun send(exchange: HttpExchange, call: MeshCall) {
+    private fun sendClientRequest(exchange: HttpExchange, call: MeshCall, account: AccountConfig) {
+        if (!throttle.admits(call.route.name, call.priority, clock.nowMs())) {
+            quota.refund(account)
+            return refuse(exchange, call.request, Refusal.OVERLOADED, THROTTLED_RETRY_AFTER_MS, account)
+        }
+        send(exchange, call.representing(throttle.representedRequests(call.route.name))) { result, usage ->
+            throttle.onLoads(usage.loads, clock.nowMs())
+            if (result is MeshResult.Answered && result.response.status < SERVER_ERROR) throttle.onServed(call.route.name, usage.uses)
+        }
+    }
+
+    /** Sends a call of the local server. Its caller is looked up by the deadline that the server set, before the route shortens it. */
+    private fun sendBackendCall(exchange: HttpExchange, call: MeshCall) {
+        val timeoutMs = call.request.timeoutMs
+        val caller = if (timeoutMs == null) null else guard.callerOf(call.arrivedAtMs + timeoutMs)
+        send(exchange, call.representing(caller?.representedRequests ?: 1.0)) { result, usage ->
+            guard.onBackendCall(caller, usage, overloaded = result is MeshResult.Refused && result.refusal == Refusal.OVERLOADED)
+        }
+    }
+
+    private fun send(exchange: HttpExchange, call: MeshCall, onDone: (MeshResult, CallUsage) -> Unit) {
         state.inFlight++
         val cancel =
-            sender.send(call) { result ->
+            sender.send(call) { result, usage ->
                 state.inFlight--
+                onDone(result, usage)
                 answer(exchange, call, result)
             }
         exchange.onAbort {
@@ -98,7 +121,6 @@
 
     private fun answer(exchange: HttpExchange, call: MeshCall, result: MeshResult) {
         events.answered(call, result, clock.nowMs())
-        if (call.fromBackend) onBackendCall(result is MeshResult.Refused && result.refusal == Refusal.OVERLOADED)
         when (result) {
             is MeshResult.Answered -> exchange.respond(result.response, close = state.leaving)
             is MeshResult.Refused -> {
@@ -118,4 +140,11 @@
         events.refused(request, refusal, account?.name)
         exchange.respond(protocol.refusal(refusal, retryAfterMs), close = state.leaving || refusal == Refusal.KEY_INVALID)
     }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+
+        /** Retry-After of a request that was shed at the entry point, in milliseconds; the demand may have changed by then. */
+        const val THROTTLED_RETRY_AFTER_MS = 800
+    }
 }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -3,7 +3,12 @@
 import wigeonreel.admission.Admission
 import wigeonreel.admission.AdmissionQueue
 import wigeonreel.admission.Arrival
+import wigeonreel.admission.CallAttribution
 import wigeonreel.admission.CallFeedback
+import wigeonreel.admission.RunningRequest
+import wigeonreel.admission.ServiceLoad
+import wigeonreel.admission.ServiceLoads
+import wigeonreel.admission.ServiceUse
 import wigeonreel.admission.Ticket
 import wigeonreel.backend.BackendReport
 import wigeonreel.daemon.Clock
@@ -18,11 +23,14 @@
 import wigeonreel.http.isHopByHop
 import wigeonreel.kernel.Service
 import wigeonreel.outcome.Refusal
+import wigeonreel.routing.FailureRate
 import wigeonreel.traffic.answerReply
 import wigeonreel.traffic.refusalReply
 import wigeonreel.traffic.toHttp
 import wigeonreel.wire.ForwardReply
 import wigeonreel.wire.ForwardRequest
+import wigeonreel.wire.ServiceLoad as WireLoad
+import wigeonreel.wire.ServiceUse as WireUse
 
 /**
  * Admission control in front of the local backend server; every request to the server passes through it.
@@ -41,6 +49,9 @@
     private var currentQueue = AdmissionQueue(1)
     private val requests = HashMap<Ticket, GuardedRequest>()
     private val feedback = CallFeedback()
+    private val attribution = CallAttribution<GuardedRequest>()
+    private val downstreamLoads = ServiceLoads()
+    private var lostAnswers = FailureRate()
 
     /** Number of requests that the server runs. */
     val running: Int get() = currentQueue.runningCount
@@ -51,6 +62,7 @@
     /** Applies the slots that [server] reports. If [isNew], starts a new queue and refuses the requests queued for the previous server. */
     fun onBackendReport(server: BackendReport, isNew: Boolean) {
         if (!isNew) return currentQueue.updateSlots(server.slots)
+        lostAnswers = FailureRate()
         val previous = currentQueue
         currentQueue = AdmissionQueue(server.slots)
         previous.clear().forEach { requests[it]?.evict(Refusal.NO_SERVER) }
@@ -63,8 +75,16 @@
         return guardedRequest::cancel
     }
 
-    /** Records the end of a call made by the local server; [overloaded] is true if the call was refused because of overload. */
-    fun onBackendCall(overloaded: Boolean) = feedback.onCall(overloaded, clock.nowMs())
+    /** Returns the request, running on the local server, that probably makes a call with the deadline [deadlineMs]; null if unknown. */
+    fun callerOf(deadlineMs: Long): RunningRequest? = attribution.callerOf(deadlineMs)
+
+    /** Records the end of a call that the local server made; [overloaded] is true if the call was refused because of overload. */
+    fun onBackendCall(caller: RunningRequest?, usage: CallUsage, overloaded: Boolean) {
+        val nowMs = clock.nowMs()
+        feedback.onCall(overloaded, nowMs)
+        usage.loads.forEach { downstreamLoads.learn(it, nowMs) }
+        if (caller != null) attribution.onCallFinished(caller, usage.uses, nowMs)
+    }
 
     /** Refuses the queued requests that can no longer be served in time. Must be called every few tens of milliseconds. */
     fun sweep(nowMs: Long) = currentQueue.shedLate(nowMs).forEach { requests[it]?.evict(Refusal.OVERLOADED) }
@@ -86,7 +106,15 @@
             if (!feedback.admits(urgent = request.depth == 0 && request.priority == 0, arrivedAtMs)) {
                 return refuse(Refusal.OVERLOADED, DOWNSTREAM_FULL_RETRY_AFTER_MS)
             }
-            val arrival = Arrival(request.route, request.depth > 0, request.priority, deadlineMs, request.objectiveMs.toLong())
+            val arrival =
+                Arrival(
+                    request.route,
+                    request.depth > 0,
+                    request.priority,
+                    deadlineMs,
+                    request.objectiveMs.toLong(),
+                    request.representedRequests.toDouble(),
+                )
             val result = queue.arrive(arrival, arrivedAtMs)
             result.displaced.forEach { requests[it]?.evict(Refusal.OVERLOADED) }
             when (val admission = result.admission) {
@@ -120,6 +148,7 @@
             }
             state.inFlight++
             startedNs = System.nanoTime()
+            attribution.onStarted(this, deadlineMs, request.representedRequests.toDouble().coerceAtLeast(1.0), nowMs)
             val message = HttpRequest(request.method, request.uri, request.headersList.toHttp(), request.body.toByteArray())
             val maxIdleMs = if (request.atMostOnce) MAX_IDLE_AT_MOST_ONCE_MS else Long.MAX_VALUE
             val options =
@@ -139,14 +168,20 @@
                     markServerDown()
                     complete(null) { refusalReply(request, Refusal.SERVER_UNREACHABLE) }
                 }
-                is HttpResult.Lost -> complete(null) { refusalReply(request, refusalFor(result.reason)) }
+                is HttpResult.Lost -> {
+                    if (result.reason != LostReason.CANCELLED) lostAnswers.onOutcome(served = false, clock.nowMs())
+                    val timedOut = result.reason == LostReason.TIMED_OUT
+                    complete(elapsedMs().takeIf { timedOut }) { refusalReply(request, refusalFor(result.reason)) }
+                }
             }
 
         private fun onAnswer(response: HttpResponse) {
-            val elapsedMs = (System.nanoTime() - startedNs) / NS_PER_MS
-            when (protocol.verdict(response)) {
+            val elapsedMs = elapsedMs()
+            val verdict = protocol.verdict(response)
+            lostAnswers.onOutcome(served = verdict != ServerVerdict.UNVERIFIED, clock.nowMs())
+            when (verdict) {
                 ServerVerdict.SERVED -> complete(elapsedMs) { relay(response) }
-                ServerVerdict.FAILED -> complete(null) { relay(response) }
+                ServerVerdict.FAILED -> complete(elapsedMs.takeIf { clock.nowMs() >= deadlineMs }) { relay(response) }
                 ServerVerdict.UNVERIFIED -> complete(null) { refusalReply(request, Refusal.ANSWER_TRUNCATED) }
                 ServerVerdict.NOT_RUN -> complete(null) { refusalReply(request, Refusal.SERVER_SHED).setRetryAfterMs(queue.retryAfterMs()) }
                 ServerVerdict.OTHER_SERVER -> {
@@ -156,6 +191,8 @@
             }
         }
 
+        private fun elapsedMs() = (System.nanoTime() - startedNs) / NS_PER_MS
+
         private fun relay(response: HttpResponse) = answerReply(request, response, headers = response.headers.filterNot { it.isHopByHop })
 
         private fun refusalFor(reason: LostReason) =
@@ -183,8 +220,10 @@
         private fun complete(elapsedMs: Double?, reply: () -> ForwardReply.Builder) {
             val ownTicket = ticket ?: return
             unregister()
-            val next = queue.finish(ownTicket, elapsedMs)
-            reply(reply())
+            val next = queue.finish(ownTicket, elapsedMs, clock.nowMs())
+            val callUses = attribution.onEnded(this)
+            val slotMs = if (startedNs == 0L) 0f else elapsedMs().toFloat()
+            reply(reply().setSlotMs(slotMs).addAllCallUses(callUses.map { it.toWire() }))
             next.forEach { requests[it]?.run() }
         }
 
@@ -197,12 +236,30 @@
                     .setInFlight(inFlight)
                     .setLimit(queue.limit)
                     .setWaitMs(queue.expectedWaitMs().toInt())
+                    .setFailureRate(lostAnswers.current(clock.nowMs()).toFloat())
+                    .setServiceMs(queue.serviceMs(request.route).toFloat())
+                    .setOfferedLoad(queue.offeredLoad.toFloat())
+                    .addAllCallLoads(downstreamLoads.current(clock.nowMs()).map { it.toWire() })
                     .build()
             events.guarded(request, built, clock.nowMs() - arrivedAtMs)
             onReply(built)
         }
     }
 
+    private fun ServiceUse.toWire() =
+        WireUse
+            .newBuilder()
+            .setService(service)
+            .setSlotMs(slotMs.toFloat())
+            .build()
+
+    private fun ServiceLoad.toWire() =
+        WireLoad
+            .newBuilder()
+            .setService(service)
+            .setRatio(ratio.toFloat())
+            .build()
+
     private companion object {
         /** Maximum idle time of a connection for an at-most-once request; the server may be closing one that was idle for longer. */
         const val MAX_IDLE_AT_MOST_ONCE_MS = 1_000L
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -1,6 +1,9 @@
 package wigeonreel.mesh
 
 import io.netty.channel.EventLoopGroup
+import wigeonreel.admission.ServiceLoad
+import wigeonreel.admission.ServiceUse
+import wigeonreel.admission.plusUses
 import wigeonreel.daemon.Clock
 import wigeonreel.http.HttpResponse
 import wigeonreel.kernel.Service
@@ -13,6 +16,7 @@
 import wigeonreel.routing.Placement
 import wigeonreel.routing.RouteDecision
 import wigeonreel.routing.Router
+import wigeonreel.routing.ServerReport
 import wigeonreel.traffic.refusalKind
 import wigeonreel.traffic.toHttp
 import wigeonreel.wire.ForwardReply
@@ -38,18 +42,18 @@
     private var attempts = 0L
 
     /**
-     * Sends [call]; [onDone] receives the result once, by the call's deadline, unless the call is cancelled.
+     * Sends [call]; [onDone] receives the result and what it used once, by the call's deadline, unless the call is cancelled.
      *
      * Returns a function that cancels the call.
      */
-    fun send(call: MeshCall, onDone: (MeshResult) -> Unit): () -> Unit {
+    fun send(call: MeshCall, onDone: (MeshResult, CallUsage) -> Unit): () -> Unit {
         budget.onFirstAttempt(call.service)
         return PendingCall(call, onDone).also { it.start() }::cancel
     }
 
     private inner class PendingCall(
         private val call: MeshCall,
-        private val onDone: (MeshResult) -> Unit,
+        private val onDone: (MeshResult, CallUsage) -> Unit,
     ) {
         private val placement = Placement(call.fromBackend)
         private var cancelAttempt: () -> Unit = {}
@@ -57,6 +61,8 @@
         private var done = false
         private var serverAttempts = 0
         private var retryAfterMs = 0
+        private var uses = emptyList<ServiceUse>()
+        private var loads = emptyList<ServiceLoad>()
 
         /** Whether a server may have run an attempt that brought no successful response. */
         private var mayHaveRun = false
@@ -90,7 +96,7 @@
         private fun attemptNext(refusalIfNone: Refusal) {
             val view = state.view ?: return refuse(Refusal.ISOLATED)
             val nowMs = clock.nowMs()
-            val decision = router.choose(view.candidatesOf(call.service), placement.tried, nowMs)
+            val decision = router.choose(view.candidatesOf(call.service), placement.tried, nowMs, call.route.name)
             val member = (decision as? RouteDecision.To)?.let { view.member(it.daemon) }
             events.placed(call, decision, placement.tried.size)
             if (member == null) refuse(refusalIfNone) else attempt(member, nowMs)
@@ -98,7 +104,7 @@
 
         private fun attempt(member: Member, nowMs: Long) {
             placement.onTried(member.id)
-            val message = call.toForwardRequest("$selfId-${++attempts}", nowMs)
+            val message = call.toForwardRequest("$selfId-${++attempts}", placement.tried.size == 1, nowMs)
             router.onSent(member.id)
             attemptPending = true
             cancelAttempt =
@@ -114,7 +120,9 @@
         private fun onReply(member: Member, message: ForwardRequest, reply: ForwardReply) {
             attemptPending = false
             router.onReply(member.id, reply.inFlight, reply.limit, clock.nowMs())
+            router.onReport(member.id, call.route.name, reply.serverReport())
             if (done) return
+            recordUsage(reply)
             if (reply.attemptId != message.attemptId) return refuse(Refusal.ANSWER_LOST)
             if (reply.outcome == Outcome.ANSWERED) {
                 return onAnswer(member, HttpResponse(reply.status, reply.headersList.toHttp(), reply.body.toByteArray()))
@@ -123,6 +131,15 @@
             onRefused(reply.refusalKind, member)
         }
 
+        private fun ForwardReply.serverReport() = ServerReport(serviceMs.toDouble(), offeredLoad.toDouble(), failureRate.toDouble())
+
+        private fun recordUsage(reply: ForwardReply) {
+            val offeredLoad = router.offeredLoad(state.view?.candidatesOf(call.service).orEmpty(), clock.nowMs())
+            uses = uses.plusUses(reply.callUsesList.map { ServiceUse(it.service, it.slotMs.toDouble()) })
+            uses = uses.plusUses(listOf(ServiceUse(call.service, reply.slotMs.toDouble())))
+            loads = reply.callLoadsList.map { ServiceLoad(it.service, it.ratio.toDouble()) } + ServiceLoad(call.service, offeredLoad)
+        }
+
         private fun onAnswer(member: Member, response: HttpResponse) {
             serverAttempts++
             router.onOutcome(member.id, response.status < SERVER_ERROR, clock.nowMs())
@@ -180,7 +197,7 @@
             if (done) return
             done = true
             timer?.cancel(false)
-            onDone(result)
+            onDone(result, CallUsage(uses, loads))
         }
     }
 
--- a/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
@@ -16,11 +16,17 @@
     val parser = argParser("wigeon-bench", args)
     val name by parser.argument(ArgType.String, description = "fleet, overload or replay")
     val seed by parser.option(ArgType.Int, fullName = "seed", description = "Seed of the run").default(1)
+    val pattern by parser
+        .option(
+            ArgType.String,
+            fullName = "pattern",
+            description = "Replay only the load patterns whose name starts so",
+        ).default("")
     parser.parse(args)
     when (name) {
         "fleet" -> FleetBench(seed.toLong()).run(listOf(25, 100, MAX_FLEET_SIZE))
         "replay" -> {
-            LoadShapes.all.forEach { println(MeshReplay(it, seed.toLong()).run().report()) }
+            LoadShapes.all.filter { it.name.startsWith(pattern) }.forEach { println(MeshReplay(it, seed.toLong()).run().report()) }
             AccountReplay.LOADS.forEach { println(AccountReplay(it, seed.toLong()).run()) }
         }
         "overload" -> OverloadBench(seed.toLong()).run()
--- a/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
@@ -2,7 +2,10 @@
 
 import wigeonreel.admission.Admission
 import wigeonreel.admission.Arrival
+import wigeonreel.admission.ServiceLoad
+import wigeonreel.admission.ServiceUse
 import wigeonreel.admission.Ticket
+import wigeonreel.admission.plusUses
 import wigeonreel.config.Configuration
 import wigeonreel.membership.Member
 import wigeonreel.membership.PeerAddress
@@ -12,6 +15,7 @@
 import wigeonreel.place.Place
 import wigeonreel.routing.Placement
 import wigeonreel.routing.RouteDecision
+import wigeonreel.routing.ServerReport
 import wigeonreel.soak.EventQueue
 import wigeonreel.traffic.FleetView
 import kotlin.math.exp
@@ -59,17 +63,26 @@
                     }
                 }
             }
-        return members.mapIndexed { number, member -> ReplayVm(member, SPEEDS[number % SPEEDS.size], number.toLong()) }.also { all ->
+        return members.mapIndexed { number, member -> ReplayVm(member, speedOf(member, members), number.toLong()) }.also { all ->
             all.forEach { it.view = FleetView(it.member, members, Configuration.EMPTY) }
         }
     }
 
+    private fun speedOf(member: Member, members: List<Member>): Double {
+        val service = member.server!!.service
+        val speeds = shape.services.first { it.name == service }.speeds
+        return speeds[members.filter { it.server!!.service == service }.indexOf(member) % speeds.size]
+    }
+
     private fun setFaults(active: Boolean) {
-        val servers = vms.filter { it.member.server!!.service == shape.faultyService }
-        servers.take((servers.size * shape.lostShare).toInt()).forEach { it.isDown = active }
-        servers.forEach { it.shedShare = if (active) shape.shedShare else 0.0 }
+        for (service in shape.faultyServices) {
+            val servers = vms.filter { it.member.server!!.service == service }
+            servers.take((servers.size * shape.lostShare).toInt()).forEach { it.isDown = active }
+            servers.take((servers.size * shape.slowShare).toInt()).forEach { it.slowFactor = if (active) shape.slowFactor else 1.0 }
+            servers.forEach { it.shedShare = if (active) shape.shedShare else 0.0 }
+            servers.forEach { it.unansweredShare = if (active) shape.unansweredShare else 0.0 }
+        }
         queue.after(VIEW_UPDATE_DELAY_MS) { refreshViews() }
-        servers.take((servers.size * shape.slowShare).toInt()).forEach { it.slowFactor = if (active) shape.slowFactor else 1.0 }
     }
 
     private fun refreshViews() {
@@ -110,7 +123,9 @@
         retriesLeft: Int,
         retriesImmediately: Boolean,
     ) {
-        send(entry, kind, false, sentMs + kind.timeoutMs) { result ->
+        val onResult = { result: ReplayResult ->
+            entry.throttle.onLoads(result.loads, queue.nowMs)
+            if (result.ok) entry.throttle.onServed(kind.name, result.uses)
             val remainingMs = sentMs + kind.timeoutMs - queue.nowMs
             val pauseMs = if (retriesImmediately) 1L else result.retryAfterMs.toLong()
             when {
@@ -120,6 +135,19 @@
                 else -> measures.onNotServed(kind, result.refusal)
             }
         }
+        if (entry.throttle.admits(kind.name, kind.priority, queue.nowMs)) {
+            send(
+                entry,
+                kind,
+                false,
+                minOf(sentMs + kind.timeoutMs, queue.nowMs + kind.attemptTimeoutMs),
+                entry.throttle.representedRequests(kind.name),
+                onResult,
+            )
+        } else {
+            measures.onThrottled(kind)
+            onResult(ReplayResult(false, Refusal.OVERLOADED, ENTRY_RETRY_AFTER_MS))
+        }
     }
 
     /** Sends a request from the daemon of [from] and calls [onDone] exactly once, no later than at [deadlineMs]. */
@@ -128,6 +156,7 @@
         kind: RequestKind,
         nested: Boolean,
         deadlineMs: Long,
+        representedRequests: Double,
         onDone: (ReplayResult) -> Unit,
     ) {
         var done = false
@@ -138,7 +167,7 @@
             }
         }
         queue.after((deadlineMs - queue.nowMs).coerceAtLeast(0)) { finish(ReplayResult(false, null, 0)) }
-        place(from, kind, nested, deadlineMs, Placement(nested), { done }, finish)
+        place(from, kind, nested, deadlineMs, representedRequests, Placement(nested), { done }, finish)
     }
 
     private fun place(
@@ -146,27 +175,32 @@
         kind: RequestKind,
         nested: Boolean,
         deadlineMs: Long,
+        representedRequests: Double,
         placement: Placement,
         isDone: () -> Boolean,
         finish: (ReplayResult) -> Unit,
     ) {
-        val decision = from.router.choose(from.view.candidatesOf(kind.service), placement.tried, queue.nowMs)
+        val decision = from.router.choose(from.view.candidatesOf(kind.service), placement.tried, queue.nowMs, kind.name)
         val target = (decision as? RouteDecision.To)?.let { byId.getValue(it.daemon) } ?: return finish(NO_SERVER_RESULT)
         placement.onTried(target.member.id)
         from.router.onSent(target.member.id)
         measures.onPlaced(decision.distance)
         val delayMs = delayMs(decision.distance)
         queue.after(delayMs) {
-            arriveAtGuard(target, kind, nested, deadlineMs) { reply ->
+            arriveAtGuard(target, kind, nested, deadlineMs, representedRequests) { reply ->
                 queue.after(delayMs) {
                     from.router.onReply(target.member.id, reply.inFlight, reply.limit, queue.nowMs)
+                    from.router.onReport(target.member.id, kind.name, reply.report)
+                    val offeredLoad = from.router.offeredLoad(from.view.candidatesOf(kind.service), queue.nowMs)
+                    val uses = reply.uses.plusUses(listOf(ServiceUse(kind.service, reply.slotMs)))
+                    val loads = reply.loads + ServiceLoad(kind.service, offeredLoad)
                     val shed = reply.refusal == Refusal.SERVER_SHED
                     if (reply.refusal == null || shed) from.router.onOutcome(target.member.id, reply.ok, queue.nowMs)
                     val shouldRetry = reply.refusal != null && !shed && !isDone() && placement.mayTryAnother(reply.refusal)
                     if (shouldRetry) {
-                        place(from, kind, nested, deadlineMs, placement, isDone, finish)
+                        place(from, kind, nested, deadlineMs, 0.0, placement, isDone, finish)
                     } else {
-                        finish(ReplayResult(reply.ok, reply.refusal, reply.retryAfterMs))
+                        finish(ReplayResult(reply.ok, reply.refusal, reply.retryAfterMs, uses, loads))
                     }
                 }
             }
@@ -178,13 +212,15 @@
         kind: RequestKind,
         nested: Boolean,
         deadlineMs: Long,
+        representedRequests: Double,
         onReply: (ReplayReply) -> Unit,
     ) {
         val nowMs = queue.nowMs
-        val request = ReplayRequest(kind, deadlineMs, onReply)
+        val request = ReplayRequest(kind, deadlineMs, representedRequests, onReply)
         if (vm.isDown) return reply(vm, request, false, Refusal.NO_SERVER)
         if (!vm.feedback.admits(!nested && kind.priority == 0, nowMs)) return refuseOverloaded(vm, request, nested)
-        val result = vm.admissionQueue.arrive(Arrival(kind.name, nested, kind.priority, deadlineMs, kind.objectiveMs), nowMs)
+        val arrival = Arrival(kind.name, nested, kind.priority, deadlineMs, kind.objectiveMs, representedRequests)
+        val result = vm.admissionQueue.arrive(arrival, nowMs)
         result.displaced.forEach { displace(vm, it) }
         when (val admission = result.admission) {
             is Admission.Run -> start(vm, request, admission.ticket)
@@ -212,45 +248,92 @@
         request.startedMs = queue.nowMs
         vm.waitingRequests.remove(ticket)
         if (queue.chance(vm.shedShare)) return queue.after(1) { end(vm, request, false, Refusal.SERVER_SHED) }
+        val answers = !queue.chance(vm.unansweredShare)
+        request.isUnanswered = !answers
         val workMs = (request.kind.workMs * workTimeFactor() * vm.slowFactor / vm.speed).toLong().coerceAtLeast(1)
-        if (request.kind.calls.isEmpty()) return queue.after(workMs) { end(vm, request, true) }
         val startedMs = queue.nowMs
-        callNext(vm, request, 0) { ok ->
+        vm.attribution.onStarted(request, request.deadlineMs, request.representedRequests, startedMs)
+        makeCalls(vm, request) { ok ->
             val remainingWorkMs =
-                if (!ok) {
-                    0
-                } else if (request.kind.callsOverlapWork) {
-                    startedMs + workMs - queue.nowMs
-                } else {
-                    workMs
+                when {
+                    !answers -> request.deadlineMs - queue.nowMs
+                    !ok -> 0
+                    request.kind.callsOverlapWork -> startedMs + workMs - queue.nowMs
+                    else -> workMs
                 }
-            queue.after(remainingWorkMs.coerceAtLeast(0)) { end(vm, request, ok) }
+            queue.after(
+                remainingWorkMs.coerceIn(0, (request.deadlineMs - queue.nowMs).coerceAtLeast(0)),
+            ) { end(vm, request, ok && answers) }
+        }
+    }
+
+    /** Makes the nested calls of [request] and calls [onDone] exactly once, with whether all of them succeeded. */
+    private fun makeCalls(vm: ReplayVm, request: ReplayRequest, onDone: (Boolean) -> Unit) {
+        val calls = request.kind.calls
+        if (!request.kind.callsOverlapWork) return callInTurn(vm, request, 0, onDone)
+        var pending = calls.size
+        var hasFailed = false
+        for (kind in calls) {
+            call(vm, request, kind) { ok ->
+                pending--
+                if (!hasFailed && (!ok || pending == 0)) onDone(ok)
+                if (!ok) hasFailed = true
+            }
         }
     }
 
-    private fun callNext(vm: ReplayVm, request: ReplayRequest, index: Int, onDone: (Boolean) -> Unit) {
+    private fun callInTurn(vm: ReplayVm, request: ReplayRequest, index: Int, onDone: (Boolean) -> Unit) {
         val kind = request.kind.calls.getOrNull(index) ?: return onDone(true)
-        send(vm, kind, true, minOf(request.deadlineMs, queue.nowMs + kind.timeoutMs)) { result ->
+        call(vm, request, kind) { ok -> if (ok) callInTurn(vm, request, index + 1, onDone) else onDone(false) }
+    }
+
+    private fun call(vm: ReplayVm, request: ReplayRequest, kind: RequestKind, onDone: (Boolean) -> Unit) {
+        val deadlineMs = minOf(request.deadlineMs, queue.nowMs + kind.timeoutMs)
+        val caller = vm.attribution.callerOf(deadlineMs)
+        send(vm, kind, true, deadlineMs, caller?.representedRequests ?: 1.0) { result ->
+            if (caller != null) vm.attribution.onCallFinished(caller, result.uses, queue.nowMs)
+            result.loads.forEach { vm.downstreamLoads.learn(it, queue.nowMs) }
             vm.feedback.onCall(result.refusal == Refusal.OVERLOADED, queue.nowMs)
             if (!result.ok) measures.onCallFailed(kind, result.refusal)
-            if (result.ok) callNext(vm, request, index + 1, onDone) else onDone(false)
+            onDone(result.ok)
         }
     }
 
     private fun end(vm: ReplayVm, request: ReplayRequest, ok: Boolean, refusal: Refusal? = null) {
         val inTime = queue.nowMs <= request.deadlineMs
         val elapsedMs = (queue.nowMs - request.startedMs).toDouble()
-        val next = vm.admissionQueue.finish(request.ticket!!, elapsedMs.takeIf { ok && inTime })
-        reply(vm, request, ok && inTime, refusal)
+        val next = vm.admissionQueue.finish(request.ticket!!, elapsedMs.takeIf { ok || queue.nowMs >= request.deadlineMs }, queue.nowMs)
+        val uses = vm.attribution.onEnded(request)
+        if (refusal == null) vm.lostAnswers.onOutcome(served = inTime && !request.isUnanswered, queue.nowMs)
+        reply(vm, request, ok && inTime, refusal, uses, elapsedMs)
         next.forEach { ticket -> vm.waitingRequests[ticket]?.let { start(vm, it, ticket) } }
     }
 
-    private fun reply(vm: ReplayVm, request: ReplayRequest, ok: Boolean, refusal: Refusal?) {
+    private fun reply(
+        vm: ReplayVm,
+        request: ReplayRequest,
+        ok: Boolean,
+        refusal: Refusal?,
+        uses: List<ServiceUse> = emptyList(),
+        slotMs: Double = 0.0,
+    ) {
         if (request.hasReply) return
         request.hasReply = true
-        val inFlight = vm.admissionQueue.runningCount + vm.admissionQueue.waitingCount
+        val queue = vm.admissionQueue
+        val retryAfterMs = if (refusal == null) 0 else queue.retryAfterMs()
+        val inFlight = queue.runningCount + queue.waitingCount
         request.onReply(
-            ReplayReply(ok, refusal, if (refusal == null) 0 else vm.admissionQueue.retryAfterMs(), inFlight, vm.admissionQueue.limit),
+            ReplayReply(
+                ok,
+                refusal,
+                retryAfterMs,
+                inFlight,
+                queue.limit,
+                ServerReport(queue.serviceMs(request.kind.name), queue.offeredLoad, vm.lostAnswers.current(this.queue.nowMs)),
+                slotMs,
+                uses,
+                vm.downstreamLoads.current(this.queue.nowMs),
+            ),
         )
     }
 
@@ -272,7 +355,6 @@
 
     private companion object {
         val NO_SERVER_RESULT = ReplayResult(false, Refusal.NO_SERVER, 0)
-        val SPEEDS = listOf(0.6, 1.0, 1.4, 0.7, 1.6)
         const val REGIONS = 2
 
         /** Standard deviation of the logarithm of the work time factor, which is log-normal with mean 1. */
@@ -283,6 +365,7 @@
         /** Delay until the views of the daemons reflect servers that went down or came back. */
         const val VIEW_UPDATE_DELAY_MS = 400L
         const val MS_PER_SECOND = 1_000.0
+        const val ENTRY_RETRY_AFTER_MS = 800
         const val MAX_IMMEDIATE_RETRIES = 3
 
         /** Clients retry only when the pause is at most 1 / RETRY_PAUSE_DIVISOR of the time left until their deadline. */
--- a/scenario/src/main/kotlin/wigeonreel/replay/ReplayMeasures.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/ReplayMeasures.kt
@@ -13,6 +13,7 @@
         var late = 0
         var refused = 0
         var failed = 0
+        var throttled = 0
     }
 
     private val kinds = shape.demand.associate { it.kind.name to KindCounts() }
@@ -44,6 +45,10 @@
         if (refusal == null) countsOf(kind).failed++ else countsOf(kind).refused++
     }
 
+    fun onThrottled(kind: RequestKind) {
+        countsOf(kind).throttled++
+    }
+
     fun onRejected(kind: RequestKind, nested: Boolean, hasFreeSlot: Boolean) {
         rejected++
         if (hasFreeSlot) rejectedDespiteFreeSlot++
@@ -71,10 +76,13 @@
     /** Returns the text report: a summary line, one line per kind of request, and the failed calls by cause. */
     fun report(): String =
         buildString {
-            append("${shape.name}: earned ${percent(earnedShare)}, worst window ${percent(minWindowShare)}, ")
+            append("${shape.name}: earned ${percent(earnedShare)} of at most ${percent(WorthBound(shape).earnedShare())}, ")
+            append("worst window ${percent(minWindowShare)}, ")
             appendLine("turned away $rejected ($rejectedDespiteFreeSlot with room elsewhere), placed $placementsByDistance")
             kinds.forEach { (name, it) ->
-                appendLine("  $name: asked ${it.sent} in time ${it.inTime} late ${it.late} refused ${it.refused} failed ${it.failed}")
+                appendLine(
+                    "  $name: asked ${it.sent} in time ${it.inTime} late ${it.late} refused ${it.refused} failed ${it.failed} throttled ${it.throttled}",
+                )
             }
             append("  calls: ${failedCallsByCause.toSortedMap()}")
         }
--- a/wire/src/main/java/wigeonreel/wire/ForwardReply.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReply.java
@@ -22,6 +22,8 @@
     headers_ = java.util.Collections.emptyList();
     body_ = com.google.protobuf.ByteString.EMPTY;
     refusal_ = "";
+    callUses_ = java.util.Collections.emptyList();
+    callLoads_ = java.util.Collections.emptyList();
   }
 
   @java.lang.Override
@@ -327,6 +329,188 @@
     return grants_ == null ? wigeonreel.wire.TokenGrants.getDefaultInstance() : grants_;
   }
 
+  public static final int OFFERED_LOAD_FIELD_NUMBER = 15;
+  private float offeredLoad_ = 0F;
+  /**
+   * <pre>
+   * Demand for the answering daemon's server as a multiple of its capacity.
+   * </pre>
+   *
+   * <code>float offered_load = 15;</code>
+   * @return The offeredLoad.
+   */
+  @java.lang.Override
+  public float getOfferedLoad() {
+    return offeredLoad_;
+  }
+
+  public static final int SLOT_MS_FIELD_NUMBER = 16;
+  private float slotMs_ = 0F;
+  /**
+   * <pre>
+   * Time for which the request held a slot of the server, in milliseconds.
+   * </pre>
+   *
+   * <code>float slot_ms = 16;</code>
+   * @return The slotMs.
+   */
+  @java.lang.Override
+  public float getSlotMs() {
+    return slotMs_;
+  }
+
+  public static final int CALL_USES_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private java.util.List<wigeonreel.wire.ServiceUse> callUses_;
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<wigeonreel.wire.ServiceUse> getCallUsesList() {
+    return callUses_;
+  }
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends wigeonreel.wire.ServiceUseOrBuilder> 
+      getCallUsesOrBuilderList() {
+    return callUses_;
+  }
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  @java.lang.Override
+  public int getCallUsesCount() {
+    return callUses_.size();
+  }
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.ServiceUse getCallUses(int index) {
+    return callUses_.get(index);
+  }
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.ServiceUseOrBuilder getCallUsesOrBuilder(
+      int index) {
+    return callUses_.get(index);
+  }
+
+  public static final int CALL_LOADS_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private java.util.List<wigeonreel.wire.ServiceLoad> callLoads_;
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<wigeonreel.wire.ServiceLoad> getCallLoadsList() {
+    return callLoads_;
+  }
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends wigeonreel.wire.ServiceLoadOrBuilder> 
+      getCallLoadsOrBuilderList() {
+    return callLoads_;
+  }
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  @java.lang.Override
+  public int getCallLoadsCount() {
+    return callLoads_.size();
+  }
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.ServiceLoad getCallLoads(int index) {
+    return callLoads_.get(index);
+  }
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  @java.lang.Override
+  public wigeonreel.wire.ServiceLoadOrBuilder getCallLoadsOrBuilder(
+      int index) {
+    return callLoads_.get(index);
+  }
+
+  public static final int SERVICE_MS_FIELD_NUMBER = 19;
+  private float serviceMs_ = 0F;
+  /**
+   * <pre>
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+   * </pre>
+   *
+   * <code>float service_ms = 19;</code>
+   * @return The serviceMs.
+   */
+  @java.lang.Override
+  public float getServiceMs() {
+    return serviceMs_;
+  }
+
+  public static final int FAILURE_RATE_FIELD_NUMBER = 20;
+  private float failureRate_ = 0F;
+  /**
+   * <pre>
+   * Share of the server's latest requests that it lost.
+   * </pre>
+   *
+   * <code>float failure_rate = 20;</code>
+   * @return The failureRate.
+   */
+  @java.lang.Override
+  public float getFailureRate() {
+    return failureRate_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -383,6 +567,24 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(14, getGrants());
     }
+    if (java.lang.Float.floatToRawIntBits(offeredLoad_) != 0) {
+      output.writeFloat(15, offeredLoad_);
+    }
+    if (java.lang.Float.floatToRawIntBits(slotMs_) != 0) {
+      output.writeFloat(16, slotMs_);
+    }
+    for (int i = 0; i < callUses_.size(); i++) {
+      output.writeMessage(17, callUses_.get(i));
+    }
+    for (int i = 0; i < callLoads_.size(); i++) {
+      output.writeMessage(18, callLoads_.get(i));
+    }
+    if (java.lang.Float.floatToRawIntBits(serviceMs_) != 0) {
+      output.writeFloat(19, serviceMs_);
+    }
+    if (java.lang.Float.floatToRawIntBits(failureRate_) != 0) {
+      output.writeFloat(20, failureRate_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -446,6 +648,30 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, getGrants());
     }
+    if (java.lang.Float.floatToRawIntBits(offeredLoad_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(15, offeredLoad_);
+    }
+    if (java.lang.Float.floatToRawIntBits(slotMs_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(16, slotMs_);
+    }
+    for (int i = 0; i < callUses_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, callUses_.get(i));
+    }
+    for (int i = 0; i < callLoads_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, callLoads_.get(i));
+    }
+    if (java.lang.Float.floatToRawIntBits(serviceMs_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(19, serviceMs_);
+    }
+    if (java.lang.Float.floatToRawIntBits(failureRate_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(20, failureRate_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -491,6 +717,22 @@
       if (!getGrants()
           .equals(other.getGrants())) return false;
     }
+    if (java.lang.Float.floatToIntBits(getOfferedLoad())
+        != java.lang.Float.floatToIntBits(
+            other.getOfferedLoad())) return false;
+    if (java.lang.Float.floatToIntBits(getSlotMs())
+        != java.lang.Float.floatToIntBits(
+            other.getSlotMs())) return false;
+    if (!getCallUsesList()
+        .equals(other.getCallUsesList())) return false;
+    if (!getCallLoadsList()
+        .equals(other.getCallLoadsList())) return false;
+    if (java.lang.Float.floatToIntBits(getServiceMs())
+        != java.lang.Float.floatToIntBits(
+            other.getServiceMs())) return false;
+    if (java.lang.Float.floatToIntBits(getFailureRate())
+        != java.lang.Float.floatToIntBits(
+            other.getFailureRate())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -535,6 +777,26 @@
       hash = (37 * hash) + GRANTS_FIELD_NUMBER;
       hash = (53 * hash) + getGrants().hashCode();
     }
+    hash = (37 * hash) + OFFERED_LOAD_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getOfferedLoad());
+    hash = (37 * hash) + SLOT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getSlotMs());
+    if (getCallUsesCount() > 0) {
+      hash = (37 * hash) + CALL_USES_FIELD_NUMBER;
+      hash = (53 * hash) + getCallUsesList().hashCode();
+    }
+    if (getCallLoadsCount() > 0) {
+      hash = (37 * hash) + CALL_LOADS_FIELD_NUMBER;
+      hash = (53 * hash) + getCallLoadsList().hashCode();
+    }
+    hash = (37 * hash) + SERVICE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getServiceMs());
+    hash = (37 * hash) + FAILURE_RATE_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getFailureRate());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -667,6 +929,8 @@
               .alwaysUseFieldBuilders) {
         getHeadersFieldBuilder();
         getGrantsFieldBuilder();
+        getCallUsesFieldBuilder();
+        getCallLoadsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -697,6 +961,24 @@
         grantsBuilder_.dispose();
         grantsBuilder_ = null;
       }
+      offeredLoad_ = 0F;
+      slotMs_ = 0F;
+      if (callUsesBuilder_ == null) {
+        callUses_ = java.util.Collections.emptyList();
+      } else {
+        callUses_ = null;
+        callUsesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
+      if (callLoadsBuilder_ == null) {
+        callLoads_ = java.util.Collections.emptyList();
+      } else {
+        callLoads_ = null;
+        callLoadsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
+      serviceMs_ = 0F;
+      failureRate_ = 0F;
       return this;
     }
 
@@ -739,6 +1021,24 @@
       } else {
         result.headers_ = headersBuilder_.build();
       }
+      if (callUsesBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          callUses_ = java.util.Collections.unmodifiableList(callUses_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.callUses_ = callUses_;
+      } else {
+        result.callUses_ = callUsesBuilder_.build();
+      }
+      if (callLoadsBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          callLoads_ = java.util.Collections.unmodifiableList(callLoads_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.callLoads_ = callLoads_;
+      } else {
+        result.callLoads_ = callLoadsBuilder_.build();
+      }
     }
 
     private void buildPartial0(wigeonreel.wire.ForwardReply result) {
@@ -786,6 +1086,18 @@
             : grantsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.offeredLoad_ = offeredLoad_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.slotMs_ = slotMs_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.serviceMs_ = serviceMs_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.failureRate_ = failureRate_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -902,6 +1214,70 @@
       if (other.hasGrants()) {
         mergeGrants(other.getGrants());
       }
+      if (other.getOfferedLoad() != 0F) {
+        setOfferedLoad(other.getOfferedLoad());
+      }
+      if (other.getSlotMs() != 0F) {
+        setSlotMs(other.getSlotMs());
+      }
+      if (callUsesBuilder_ == null) {
+        if (!other.callUses_.isEmpty()) {
+          if (callUses_.isEmpty()) {
+            callUses_ = other.callUses_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensureCallUsesIsMutable();
+            callUses_.addAll(other.callUses_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.callUses_.isEmpty()) {
+          if (callUsesBuilder_.isEmpty()) {
+            callUsesBuilder_.dispose();
+            callUsesBuilder_ = null;
+            callUses_ = other.callUses_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            callUsesBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getCallUsesFieldBuilder() : null;
+          } else {
+            callUsesBuilder_.addAllMessages(other.callUses_);
+          }
+        }
+      }
+      if (callLoadsBuilder_ == null) {
+        if (!other.callLoads_.isEmpty()) {
+          if (callLoads_.isEmpty()) {
+            callLoads_ = other.callLoads_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureCallLoadsIsMutable();
+            callLoads_.addAll(other.callLoads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.callLoads_.isEmpty()) {
+          if (callLoadsBuilder_.isEmpty()) {
+            callLoadsBuilder_.dispose();
+            callLoadsBuilder_ = null;
+            callLoads_ = other.callLoads_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            callLoadsBuilder_ = 
+              com.google.protobuf.GeneratedMessageV3.alwaysUseFieldBuilders ?
+                 getCallLoadsFieldBuilder() : null;
+          } else {
+            callLoadsBuilder_.addAllMessages(other.callLoads_);
+          }
+        }
+      }
+      if (other.getServiceMs() != 0F) {
+        setServiceMs(other.getServiceMs());
+      }
+      if (other.getFailureRate() != 0F) {
+        setFailureRate(other.getFailureRate());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1008,6 +1384,52 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 125: {
+              offeredLoad_ = input.readFloat();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 125
+            case 133: {
+              slotMs_ = input.readFloat();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 133
+            case 138: {
+              wigeonreel.wire.ServiceUse m =
+                  input.readMessage(
+                      wigeonreel.wire.ServiceUse.parser(),
+                      extensionRegistry);
+              if (callUsesBuilder_ == null) {
+                ensureCallUsesIsMutable();
+                callUses_.add(m);
+              } else {
+                callUsesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 138
+            case 146: {
+              wigeonreel.wire.ServiceLoad m =
+                  input.readMessage(
+                      wigeonreel.wire.ServiceLoad.parser(),
+                      extensionRegistry);
+              if (callLoadsBuilder_ == null) {
+                ensureCallLoadsIsMutable();
+                callLoads_.add(m);
+              } else {
+                callLoadsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 146
+            case 157: {
+              serviceMs_ = input.readFloat();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 157
+            case 165: {
+              failureRate_ = input.readFloat();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 165
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1930,6 +2352,806 @@
       }
       return grantsBuilder_;
     }
+
+    private float offeredLoad_ ;
+    /**
+     * <pre>
+     * Demand for the answering daemon's server as a multiple of its capacity.
+     * </pre>
+     *
+     * <code>float offered_load = 15;</code>
+     * @return The offeredLoad.
+     */
+    @java.lang.Override
+    public float getOfferedLoad() {
+      return offeredLoad_;
+    }
+    /**
+     * <pre>
+     * Demand for the answering daemon's server as a multiple of its capacity.
+     * </pre>
+     *
+     * <code>float offered_load = 15;</code>
+     * @param value The offeredLoad to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOfferedLoad(float value) {
+
+      offeredLoad_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Demand for the answering daemon's server as a multiple of its capacity.
+     * </pre>
+     *
+     * <code>float offered_load = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOfferedLoad() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      offeredLoad_ = 0F;
+      onChanged();
+      return this;
+    }
+
+    private float slotMs_ ;
+    /**
+     * <pre>
+     * Time for which the request held a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float slot_ms = 16;</code>
+     * @return The slotMs.
+     */
+    @java.lang.Override
+    public float getSlotMs() {
+      return slotMs_;
+    }
+    /**
+     * <pre>
+     * Time for which the request held a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float slot_ms = 16;</code>
+     * @param value The slotMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSlotMs(float value) {
+
+      slotMs_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time for which the request held a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float slot_ms = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSlotMs() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      slotMs_ = 0F;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<wigeonreel.wire.ServiceUse> callUses_ =
+      java.util.Collections.emptyList();
+    private void ensureCallUsesIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        callUses_ = new java.util.ArrayList<wigeonreel.wire.ServiceUse>(callUses_);
+        bitField0_ |= 0x00010000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        wigeonreel.wire.ServiceUse, wigeonreel.wire.ServiceUse.Builder, wigeonreel.wire.ServiceUseOrBuilder> callUsesBuilder_;
+
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public java.util.List<wigeonreel.wire.ServiceUse> getCallUsesList() {
+      if (callUsesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(callUses_);
+      } else {
+        return callUsesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public int getCallUsesCount() {
+      if (callUsesBuilder_ == null) {
+        return callUses_.size();
+      } else {
+        return callUsesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public wigeonreel.wire.ServiceUse getCallUses(int index) {
+      if (callUsesBuilder_ == null) {
+        return callUses_.get(index);
+      } else {
+        return callUsesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder setCallUses(
+        int index, wigeonreel.wire.ServiceUse value) {
+      if (callUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallUsesIsMutable();
+        callUses_.set(index, value);
+        onChanged();
+      } else {
+        callUsesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder setCallUses(
+        int index, wigeonreel.wire.ServiceUse.Builder builderForValue) {
+      if (callUsesBuilder_ == null) {
+        ensureCallUsesIsMutable();
+        callUses_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        callUsesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder addCallUses(wigeonreel.wire.ServiceUse value) {
+      if (callUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallUsesIsMutable();
+        callUses_.add(value);
+        onChanged();
+      } else {
+        callUsesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder addCallUses(
+        int index, wigeonreel.wire.ServiceUse value) {
+      if (callUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallUsesIsMutable();
+        callUses_.add(index, value);
+        onChanged();
+      } else {
+        callUsesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder addCallUses(
+        wigeonreel.wire.ServiceUse.Builder builderForValue) {
+      if (callUsesBuilder_ == null) {
+        ensureCallUsesIsMutable();
+        callUses_.add(builderForValue.build());
+        onChanged();
+      } else {
+        callUsesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder addCallUses(
+        int index, wigeonreel.wire.ServiceUse.Builder builderForValue) {
+      if (callUsesBuilder_ == null) {
+        ensureCallUsesIsMutable();
+        callUses_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        callUsesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder addAllCallUses(
+        java.lang.Iterable<? extends wigeonreel.wire.ServiceUse> values) {
+      if (callUsesBuilder_ == null) {
+        ensureCallUsesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, callUses_);
+        onChanged();
+      } else {
+        callUsesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder clearCallUses() {
+      if (callUsesBuilder_ == null) {
+        callUses_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+      } else {
+        callUsesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public Builder removeCallUses(int index) {
+      if (callUsesBuilder_ == null) {
+        ensureCallUsesIsMutable();
+        callUses_.remove(index);
+        onChanged();
+      } else {
+        callUsesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public wigeonreel.wire.ServiceUse.Builder getCallUsesBuilder(
+        int index) {
+      return getCallUsesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public wigeonreel.wire.ServiceUseOrBuilder getCallUsesOrBuilder(
+        int index) {
+      if (callUsesBuilder_ == null) {
+        return callUses_.get(index);  } else {
+        return callUsesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public java.util.List<? extends wigeonreel.wire.ServiceUseOrBuilder> 
+         getCallUsesOrBuilderList() {
+      if (callUsesBuilder_ != null) {
+        return callUsesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(callUses_);
+      }
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public wigeonreel.wire.ServiceUse.Builder addCallUsesBuilder() {
+      return getCallUsesFieldBuilder().addBuilder(
+          wigeonreel.wire.ServiceUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public wigeonreel.wire.ServiceUse.Builder addCallUsesBuilder(
+        int index) {
+      return getCallUsesFieldBuilder().addBuilder(
+          index, wigeonreel.wire.ServiceUse.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the server's calls for this request used.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+     */
+    public java.util.List<wigeonreel.wire.ServiceUse.Builder> 
+         getCallUsesBuilderList() {
+      return getCallUsesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        wigeonreel.wire.ServiceUse, wigeonreel.wire.ServiceUse.Builder, wigeonreel.wire.ServiceUseOrBuilder> 
+        getCallUsesFieldBuilder() {
+      if (callUsesBuilder_ == null) {
+        callUsesBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            wigeonreel.wire.ServiceUse, wigeonreel.wire.ServiceUse.Builder, wigeonreel.wire.ServiceUseOrBuilder>(
+                callUses_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        callUses_ = null;
+      }
+      return callUsesBuilder_;
+    }
+
+    private java.util.List<wigeonreel.wire.ServiceLoad> callLoads_ =
+      java.util.Collections.emptyList();
+    private void ensureCallLoadsIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        callLoads_ = new java.util.ArrayList<wigeonreel.wire.ServiceLoad>(callLoads_);
+        bitField0_ |= 0x00020000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        wigeonreel.wire.ServiceLoad, wigeonreel.wire.ServiceLoad.Builder, wigeonreel.wire.ServiceLoadOrBuilder> callLoadsBuilder_;
+
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public java.util.List<wigeonreel.wire.ServiceLoad> getCallLoadsList() {
+      if (callLoadsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(callLoads_);
+      } else {
+        return callLoadsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public int getCallLoadsCount() {
+      if (callLoadsBuilder_ == null) {
+        return callLoads_.size();
+      } else {
+        return callLoadsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public wigeonreel.wire.ServiceLoad getCallLoads(int index) {
+      if (callLoadsBuilder_ == null) {
+        return callLoads_.get(index);
+      } else {
+        return callLoadsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder setCallLoads(
+        int index, wigeonreel.wire.ServiceLoad value) {
+      if (callLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallLoadsIsMutable();
+        callLoads_.set(index, value);
+        onChanged();
+      } else {
+        callLoadsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder setCallLoads(
+        int index, wigeonreel.wire.ServiceLoad.Builder builderForValue) {
+      if (callLoadsBuilder_ == null) {
+        ensureCallLoadsIsMutable();
+        callLoads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        callLoadsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder addCallLoads(wigeonreel.wire.ServiceLoad value) {
+      if (callLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallLoadsIsMutable();
+        callLoads_.add(value);
+        onChanged();
+      } else {
+        callLoadsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder addCallLoads(
+        int index, wigeonreel.wire.ServiceLoad value) {
+      if (callLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCallLoadsIsMutable();
+        callLoads_.add(index, value);
+        onChanged();
+      } else {
+        callLoadsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder addCallLoads(
+        wigeonreel.wire.ServiceLoad.Builder builderForValue) {
+      if (callLoadsBuilder_ == null) {
+        ensureCallLoadsIsMutable();
+        callLoads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        callLoadsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder addCallLoads(
+        int index, wigeonreel.wire.ServiceLoad.Builder builderForValue) {
+      if (callLoadsBuilder_ == null) {
+        ensureCallLoadsIsMutable();
+        callLoads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        callLoadsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder addAllCallLoads(
+        java.lang.Iterable<? extends wigeonreel.wire.ServiceLoad> values) {
+      if (callLoadsBuilder_ == null) {
+        ensureCallLoadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, callLoads_);
+        onChanged();
+      } else {
+        callLoadsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder clearCallLoads() {
+      if (callLoadsBuilder_ == null) {
+        callLoads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
+        onChanged();
+      } else {
+        callLoadsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public Builder removeCallLoads(int index) {
+      if (callLoadsBuilder_ == null) {
+        ensureCallLoadsIsMutable();
+        callLoads_.remove(index);
+        onChanged();
+      } else {
+        callLoadsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public wigeonreel.wire.ServiceLoad.Builder getCallLoadsBuilder(
+        int index) {
+      return getCallLoadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public wigeonreel.wire.ServiceLoadOrBuilder getCallLoadsOrBuilder(
+        int index) {
+      if (callLoadsBuilder_ == null) {
+        return callLoads_.get(index);  } else {
+        return callLoadsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public java.util.List<? extends wigeonreel.wire.ServiceLoadOrBuilder> 
+         getCallLoadsOrBuilderList() {
+      if (callLoadsBuilder_ != null) {
+        return callLoadsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(callLoads_);
+      }
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public wigeonreel.wire.ServiceLoad.Builder addCallLoadsBuilder() {
+      return getCallLoadsFieldBuilder().addBuilder(
+          wigeonreel.wire.ServiceLoad.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public wigeonreel.wire.ServiceLoad.Builder addCallLoadsBuilder(
+        int index) {
+      return getCallLoadsFieldBuilder().addBuilder(
+          index, wigeonreel.wire.ServiceLoad.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Loads of the services that the server calls.
+     * </pre>
+     *
+     * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+     */
+    public java.util.List<wigeonreel.wire.ServiceLoad.Builder> 
+         getCallLoadsBuilderList() {
+      return getCallLoadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilderV3<
+        wigeonreel.wire.ServiceLoad, wigeonreel.wire.ServiceLoad.Builder, wigeonreel.wire.ServiceLoadOrBuilder> 
+        getCallLoadsFieldBuilder() {
+      if (callLoadsBuilder_ == null) {
+        callLoadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilderV3<
+            wigeonreel.wire.ServiceLoad, wigeonreel.wire.ServiceLoad.Builder, wigeonreel.wire.ServiceLoadOrBuilder>(
+                callLoads_,
+                ((bitField0_ & 0x00020000) != 0),
+                getParentForChildren(),
+                isClean());
+        callLoads_ = null;
+      }
+      return callLoadsBuilder_;
+    }
+
+    private float serviceMs_ ;
+    /**
+     * <pre>
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float service_ms = 19;</code>
+     * @return The serviceMs.
+     */
+    @java.lang.Override
+    public float getServiceMs() {
+      return serviceMs_;
+    }
+    /**
+     * <pre>
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float service_ms = 19;</code>
+     * @param value The serviceMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceMs(float value) {
+
+      serviceMs_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * </pre>
+     *
+     * <code>float service_ms = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceMs() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      serviceMs_ = 0F;
+      onChanged();
+      return this;
+    }
+
+    private float failureRate_ ;
+    /**
+     * <pre>
+     * Share of the server's latest requests that it lost.
+     * </pre>
+     *
+     * <code>float failure_rate = 20;</code>
+     * @return The failureRate.
+     */
+    @java.lang.Override
+    public float getFailureRate() {
+      return failureRate_;
+    }
+    /**
+     * <pre>
+     * Share of the server's latest requests that it lost.
+     * </pre>
+     *
+     * <code>float failure_rate = 20;</code>
+     * @param value The failureRate to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureRate(float value) {
+
+      failureRate_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Share of the server's latest requests that it lost.
+     * </pre>
+     *
+     * <code>float failure_rate = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailureRate() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      failureRate_ = 0F;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
@@ -155,4 +155,132 @@
    * <code>.wigeonreel.wire.TokenGrants grants = 14;</code>
    */
   wigeonreel.wire.TokenGrantsOrBuilder getGrantsOrBuilder();
+
+  /**
+   * <pre>
+   * Demand for the answering daemon's server as a multiple of its capacity.
+   * </pre>
+   *
+   * <code>float offered_load = 15;</code>
+   * @return The offeredLoad.
+   */
+  float getOfferedLoad();
+
+  /**
+   * <pre>
+   * Time for which the request held a slot of the server, in milliseconds.
+   * </pre>
+   *
+   * <code>float slot_ms = 16;</code>
+   * @return The slotMs.
+   */
+  float getSlotMs();
+
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  java.util.List<wigeonreel.wire.ServiceUse> 
+      getCallUsesList();
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  wigeonreel.wire.ServiceUse getCallUses(int index);
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  int getCallUsesCount();
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  java.util.List<? extends wigeonreel.wire.ServiceUseOrBuilder> 
+      getCallUsesOrBuilderList();
+  /**
+   * <pre>
+   * What the server's calls for this request used.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceUse call_uses = 17;</code>
+   */
+  wigeonreel.wire.ServiceUseOrBuilder getCallUsesOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  java.util.List<wigeonreel.wire.ServiceLoad> 
+      getCallLoadsList();
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  wigeonreel.wire.ServiceLoad getCallLoads(int index);
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  int getCallLoadsCount();
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  java.util.List<? extends wigeonreel.wire.ServiceLoadOrBuilder> 
+      getCallLoadsOrBuilderList();
+  /**
+   * <pre>
+   * Loads of the services that the server calls.
+   * </pre>
+   *
+   * <code>repeated .wigeonreel.wire.ServiceLoad call_loads = 18;</code>
+   */
+  wigeonreel.wire.ServiceLoadOrBuilder getCallLoadsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+   * </pre>
+   *
+   * <code>float service_ms = 19;</code>
+   * @return The serviceMs.
+   */
+  float getServiceMs();
+
+  /**
+   * <pre>
+   * Share of the server's latest requests that it lost.
+   * </pre>
+   *
+   * <code>float failure_rate = 20;</code>
+   * @return The failureRate.
+   */
+  float getFailureRate();
 }
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
@@ -452,7 +452,7 @@
   private int priority_ = 0;
   /**
    * <pre>
-   * Rank among the routes, 0 is the most urgent.
+   * Rank among the requests, 0 is the most urgent.
    * </pre>
    *
    * <code>uint32 priority = 16;</code>
@@ -540,6 +540,22 @@
     }
   }
 
+  public static final int REPRESENTED_REQUESTS_FIELD_NUMBER = 20;
+  private float representedRequests_ = 0F;
+  /**
+   * <pre>
+   * Number of requests that this one stands for: itself and its share of those that entry points shed. 0 if another guard
+   * has counted it.
+   * </pre>
+   *
+   * <code>float represented_requests = 20;</code>
+   * @return The representedRequests.
+   */
+  @java.lang.Override
+  public float getRepresentedRequests() {
+    return representedRequests_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -611,6 +627,9 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(route_)) {
       com.google.protobuf.GeneratedMessageV3.writeString(output, 19, route_);
     }
+    if (java.lang.Float.floatToRawIntBits(representedRequests_) != 0) {
+      output.writeFloat(20, representedRequests_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -688,6 +707,10 @@
     if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(route_)) {
       size += com.google.protobuf.GeneratedMessageV3.computeStringSize(19, route_);
     }
+    if (java.lang.Float.floatToRawIntBits(representedRequests_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFloatSize(20, representedRequests_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -742,6 +765,9 @@
         != other.getObjectiveMs()) return false;
     if (!getRoute()
         .equals(other.getRoute())) return false;
+    if (java.lang.Float.floatToIntBits(getRepresentedRequests())
+        != java.lang.Float.floatToIntBits(
+            other.getRepresentedRequests())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -796,6 +822,9 @@
     hash = (53 * hash) + getObjectiveMs();
     hash = (37 * hash) + ROUTE_FIELD_NUMBER;
     hash = (53 * hash) + getRoute().hashCode();
+    hash = (37 * hash) + REPRESENTED_REQUESTS_FIELD_NUMBER;
+    hash = (53 * hash) + java.lang.Float.floatToIntBits(
+        getRepresentedRequests());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -952,6 +981,7 @@
       atMostOnce_ = false;
       objectiveMs_ = 0;
       route_ = "";
+      representedRequests_ = 0F;
       return this;
     }
 
@@ -1052,6 +1082,9 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.route_ = route_;
       }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.representedRequests_ = representedRequests_;
+      }
     }
 
     @java.lang.Override
@@ -1194,6 +1227,9 @@
         bitField0_ |= 0x00040000;
         onChanged();
       }
+      if (other.getRepresentedRequests() != 0F) {
+        setRepresentedRequests(other.getRepresentedRequests());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1323,6 +1359,11 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 154
+            case 165: {
+              representedRequests_ = input.readFloat();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 165
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2335,7 +2376,7 @@
     private int priority_ ;
     /**
      * <pre>
-     * Rank among the routes, 0 is the most urgent.
+     * Rank among the requests, 0 is the most urgent.
      * </pre>
      *
      * <code>uint32 priority = 16;</code>
@@ -2347,7 +2388,7 @@
     }
     /**
      * <pre>
-     * Rank among the routes, 0 is the most urgent.
+     * Rank among the requests, 0 is the most urgent.
      * </pre>
      *
      * <code>uint32 priority = 16;</code>
@@ -2363,7 +2404,7 @@
     }
     /**
      * <pre>
-     * Rank among the routes, 0 is the most urgent.
+     * Rank among the requests, 0 is the most urgent.
      * </pre>
      *
      * <code>uint32 priority = 16;</code>
@@ -2555,6 +2596,53 @@
       onChanged();
       return this;
     }
+
+    private float representedRequests_ ;
+    /**
+     * <pre>
+     * Number of requests that this one stands for: itself and its share of those that entry points shed. 0 if another guard
+     * has counted it.
+     * </pre>
+     *
+     * <code>float represented_requests = 20;</code>
+     * @return The representedRequests.
+     */
+    @java.lang.Override
+    public float getRepresentedRequests() {
+      return representedRequests_;
+    }
+    /**
+     * <pre>
+     * Number of requests that this one stands for: itself and its share of those that entry points shed. 0 if another guard
+     * has counted it.
+     * </pre>
+     *
+     * <code>float represented_requests = 20;</code>
+     * @param value The representedRequests to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepresentedRequests(float value) {
+
+      representedRequests_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of requests that this one stands for: itself and its share of those that entry points shed. 0 if another guard
+     * has counted it.
+     * </pre>
+     *
+     * <code>float represented_requests = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRepresentedRequests() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      representedRequests_ = 0F;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
@@ -168,7 +168,7 @@
 
   /**
    * <pre>
-   * Rank among the routes, 0 is the most urgent.
+   * Rank among the requests, 0 is the most urgent.
    * </pre>
    *
    * <code>uint32 priority = 16;</code>
@@ -215,4 +215,15 @@
    */
   com.google.protobuf.ByteString
       getRouteBytes();
+
+  /**
+   * <pre>
+   * Number of requests that this one stands for: itself and its share of those that entry points shed. 0 if another guard
+   * has counted it.
+   * </pre>
+   *
+   * <code>float represented_requests = 20;</code>
+   * @return The representedRequests.
+   */
+  float getRepresentedRequests();
 }
