--- a/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/AdmissionQueue.kt
@@ -101,8 +101,8 @@
     /** Returns the expected wait of a new request of the lowest priority, in milliseconds. */
     fun expectedWaitMs(): Double = if (running.size < limit) 0.0 else backlogMs() / limit
 
-    /** Returns the mean service time of requests of [route] at this server, in milliseconds. */
-    fun serviceMs(route: String): Double = times.meanMs(route)
+    /** Returns the mean service time of requests of [route] at this server, in milliseconds, or null before the first one. */
+    fun serviceMs(route: String): Double? = times.sampledMeanMs(route)
 
     /** Starts, queues or refuses [arrival]. */
     fun arrive(arrival: Arrival, nowMs: Long): ArrivalResult {
@@ -170,8 +170,10 @@
     }
 
     /** Returns whether the server is too slow to answer [arrival] in time, except for one request of its route once in a while. */
-    private fun isTooSlow(arrival: Arrival, nowMs: Long): Boolean =
-        nowMs + times.meanMs(arrival.route) > arrival.deadlineMs && nowMs - (startedAtMs[arrival.route] ?: 0) < PROBE_INTERVAL_MS
+    private fun isTooSlow(arrival: Arrival, nowMs: Long): Boolean {
+        val serviceMs = times.sampledMeanMs(arrival.route) ?: return false
+        return nowMs + serviceMs > arrival.deadlineMs && nowMs - (startedAtMs[arrival.route] ?: 0) < PROBE_INTERVAL_MS
+    }
 
     private fun startNext(nowMs: Long): List<Ticket> {
         val started = mutableListOf<Ticket>()
@@ -184,6 +186,7 @@
     }
 
     private fun start(ticket: Ticket, nowMs: Long) {
+        if (startedAtMs.size > MAX_ROUTES) startedAtMs.clear()
         startedAtMs[ticket.arrival.route] = nowMs
         ticket.expectedMs = times.meanMs(ticket.arrival.route)
         running += ticket
@@ -218,6 +221,9 @@
         /** Factor on the expected wait after which callers should retry, so that the current backlog has drained by then. */
         const val RETRY_AFTER_FACTOR = 2.0
         const val MIN_RETRY_AFTER_MS = 200
+
+        /** Number of routes above which the times of their last starts are reset, so that the map stays bounded. */
+        const val MAX_ROUTES = 2_000
         const val MAX_RETRY_AFTER_MS = 1_500
     }
 }
--- a/core/src/main/kotlin/wigeonreel/admission/CallAttribution.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/CallAttribution.kt
@@ -6,6 +6,8 @@
     internal var lastEventAtMs: Long,
     /** Number of requests that this one stands for; see [Arrival.representedRequests]. */
     val representedRequests: Double,
+    /** Whether an earlier attempt of the request, or of one that it was made for, may have run. */
+    val isRetry: Boolean,
 ) {
     internal var uses: List<ServiceUse> = emptyList()
 }
@@ -20,8 +22,14 @@
     private val running = LinkedHashMap<T, RunningRequest>()
 
     /** Registers [request], which the server starts now and must answer by [deadlineMs]. */
-    fun onStarted(request: T, deadlineMs: Long, representedRequests: Double, nowMs: Long) {
-        running[request] = RunningRequest(deadlineMs, nowMs, representedRequests)
+    fun onStarted(
+        request: T,
+        deadlineMs: Long,
+        representedRequests: Double,
+        isRetry: Boolean,
+        nowMs: Long,
+    ) {
+        running[request] = RunningRequest(deadlineMs, nowMs, representedRequests, isRetry)
     }
 
     /** Returns the running request that probably makes a call with the deadline [callDeadlineMs], or null if none can. */
--- a/core/src/main/kotlin/wigeonreel/admission/ServiceTimes.kt
+++ b/core/src/main/kotlin/wigeonreel/admission/ServiceTimes.kt
@@ -11,6 +11,9 @@
         if (means.size > MAX_ROUTES) means.clear()
     }
 
+    /** Returns the mean of [route], or null before its first sample. */
+    fun sampledMeanMs(route: String): Double? = means[route]
+
     /** Returns the mean of [route]; before its first sample, the average over all routes or, without any, a default. */
     fun meanMs(route: String): Double = means[route] ?: if (means.isEmpty()) DEFAULT_MS else means.values.average()
 
--- a/core/src/main/kotlin/wigeonreel/retry/RetryRatio.kt
+++ b/core/src/main/kotlin/wigeonreel/retry/RetryRatio.kt
@@ -17,6 +17,11 @@
         tokens = (tokens + ratio).coerceAtMost(burst)
     }
 
+    /** Counts a retry that was made elsewhere but adds load here. */
+    fun onInheritedRetry() {
+        tokens = (tokens - 1.0).coerceAtLeast(-burst)
+    }
+
     /** Takes one retry from the budget. Returns false if none is left. */
     fun tryRetry(): Boolean {
         if (tokens < 1.0) return false
--- a/core/src/main/kotlin/wigeonreel/retry/ServiceRetryBudget.kt
+++ b/core/src/main/kotlin/wigeonreel/retry/ServiceRetryBudget.kt
@@ -18,6 +18,9 @@
     /** Counts the first attempt of a request to [service]. */
     fun onFirstAttempt(service: String) = ratioOf(service).onFirstAttempt()
 
+    /** Counts a first attempt to [service] made for a request that was itself retried; it uses the budget up instead of adding to it. */
+    fun onInheritedRetry(service: String) = ratioOf(service).onInheritedRetry()
+
     /** Takes one retry from the budget of [service]. Returns false if none is left. */
     fun tryRetry(service: String): Boolean = ratioOf(service).tryRetry()
 
--- a/core/src/main/kotlin/wigeonreel/routing/Router.kt
+++ b/core/src/main/kotlin/wigeonreel/routing/Router.kt
@@ -13,14 +13,12 @@
 /**
  * What a guard reports of its server on each reply.
  *
- * @param serviceMs mean service time of the route of the request, in milliseconds.
+ * @param serviceMs mean service time of the route of the request, in milliseconds, or null before the first sample.
  * @param offeredLoad demand as a multiple of the capacity.
- * @param failureRate share of the latest requests that the server did not answer or answered with an error of its own.
  */
 data class ServerReport(
-    val serviceMs: Double,
+    val serviceMs: Double?,
     val offeredLoad: Double,
-    val failureRate: Double,
 )
 
 private const val HUNDREDTHS = 100.0
@@ -68,7 +66,6 @@
         var failureRate = 0.0
         var lastOutcomeAtMs = 0L
         var offeredLoad = 0.0
-        var reportedFailureRate = 0.0
         val serviceMs = HashMap<String, Double>()
     }
 
@@ -82,7 +79,8 @@
         val eligible = if (healthy.size * 2 >= usable.size) healthy else usable
         var best: RouteDecision.To? = null
         for (distance in Distance.entries) {
-            val sampled = sample(eligible.filter { it.distance == distance }, nowMs) { slownessPenalty(it, route, usualMs, nowMs) } ?: continue
+            val sampled =
+                sample(eligible.filter { it.distance == distance }, nowMs) { slownessPenalty(it, route, usualMs, nowMs) } ?: continue
             if (best == null || sampled.load + penalty(distance) < best.load + penalty(best.distance)) best = sampled
             if (best.load < SPILL_LOAD) break
         }
@@ -95,15 +93,8 @@
     }
 
     /** Ends a call with a reply that carries the number of requests [inFlight] at the server and their [limit]. */
-    fun onReply(
-        daemon: String,
-        inFlight: Int,
-        limit: Int,
-        nowMs: Long,
-        offeredLoad: Double = 0.0,
-    ) {
+    fun onReply(daemon: String, inFlight: Int, limit: Int, nowMs: Long) {
         val state = stateOf(daemon)
-        state.offeredLoad = offeredLoad
         state.outstanding--
         state.failures = 0
         state.reportedLoad = inFlight.toDouble() / limit.coerceAtLeast(1)
@@ -114,9 +105,9 @@
     fun onReport(daemon: String, route: String, report: ServerReport) {
         val state = stateOf(daemon)
         state.offeredLoad = report.offeredLoad
-        state.reportedFailureRate = report.failureRate
+        val serviceMs = report.serviceMs ?: return
         if (state.serviceMs.size >= MAX_ROUTES) state.serviceMs.clear()
-        state.serviceMs[route] = report.serviceMs
+        state.serviceMs[route] = serviceMs
     }
 
     /** Ends a call that got no reply; consecutive failures eject the server. */
@@ -141,6 +132,9 @@
         stateOf(daemon).outstanding--
     }
 
+    /** Returns the mean service time of [route] that the guard of [daemon] reported, in milliseconds, or null if it did not. */
+    fun serviceMs(daemon: String, route: String): Double? = servers[daemon]?.serviceMs?.get(route)
+
     /** Returns the mean offered load of those [candidates] that replied lately, weighed by their slots; 0 if none did. */
     fun offeredLoad(candidates: List<Candidate>, nowMs: Long): Double {
         val known =
@@ -168,13 +162,7 @@
         val own = state.outstanding.toDouble() / candidate.slots.coerceAtLeast(1)
         val fresh = nowMs - state.reportedAtMs < REPORT_VALID_MS
         val load = if (fresh) maxOf(own, state.reportedLoad) else own
-        return load + (failureRate(state, nowMs) - TOLERATED_FAILURE_RATE).coerceAtLeast(0.0) * FAILURE_PENALTY
-    }
-
-    /** Greater of the failure rates that this daemon saw and that the guard beside the server reported. */
-    private fun failureRate(state: ServerState, nowMs: Long): Double {
-        val age = (nowMs - state.reportedAtMs).toDouble() / FAILURE_DECAY_MS
-        return maxOf(decayedFailureRate(state, nowMs), state.reportedFailureRate * (1.0 - age).coerceIn(0.0, 1.0))
+        return load + (decayedFailureRate(state, nowMs) - TOLERATED_FAILURE_RATE).coerceAtLeast(0.0) * FAILURE_PENALTY
     }
 
     /** Returns the least mean service time of [route] that one of [candidates] reported, in milliseconds; 0 if none did. */
@@ -186,7 +174,8 @@
         val state = servers[candidate.daemon] ?: return 0.0
         val serviceMs = state.serviceMs[route] ?: return 0.0
         val age = (nowMs - state.reportedAtMs).toDouble() / SERVICE_TIME_VALID_MS
-        return (serviceMs / usualMs.coerceAtLeast(1.0) - 1.0).coerceIn(0.0, MAX_SLOWNESS) * SLOWNESS_PENALTY * (1.0 - age).coerceIn(0.0, 1.0)
+        return (serviceMs / usualMs.coerceAtLeast(1.0) - 1.0).coerceIn(0.0, MAX_SLOWNESS) * SLOWNESS_PENALTY *
+            (1.0 - age).coerceIn(0.0, 1.0)
     }
 
     /** Failure rate, reduced linearly with its age, so that a server without recent requests is tried again. */
--- a/core/src/test/kotlin/wigeonreel/admission/AdmissionQueueTest.kt
+++ b/core/src/test/kotlin/wigeonreel/admission/AdmissionQueueTest.kt
@@ -101,7 +101,10 @@
             for (ticket in finished) {
                 running.remove(ticket)
                 if (ticket.arrival.nested) served.nested++ else served.newRequests++
-                queue.finish(ticket, if (ticket.arrival.nested) 30.0 else 480.0, nowMs).forEach { running[it] = nowMs + serviceMs(it, random) }
+                queue.finish(ticket, if (ticket.arrival.nested) 30.0 else 480.0, nowMs).forEach {
+                    running[it] =
+                        nowMs + serviceMs(it, random)
+                }
             }
             if (random.nextDouble() < 0.6) {
                 served.nestedOffered++
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshCall.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshCall.kt
@@ -20,6 +20,7 @@
  * @param fromBackend whether the local backend server makes this call.
  * @param deadlineMs time by which the caller receives the final response, in milliseconds.
  * @param representedRequests number of requests that this one stands for; see [Arrival.representedRequests].
+ * @param isRetry whether the call is made for a request that was retried.
  */
 class MeshCall(
     val request: CallerRequest,
@@ -31,6 +32,7 @@
     val arrivedAtMs: Long,
     val deadlineMs: Long,
     val representedRequests: Double = 1.0,
+    val isRetry: Boolean = false,
 ) {
     val atMostOnce: Boolean get() = route.harm == Harm.AT_MOST_ONCE
 
@@ -38,11 +40,12 @@
     val priority: Int
         get() = (account?.priority ?: route.priority) * ROUTE_PRIORITIES + route.priority.coerceIn(0, ROUTE_PRIORITIES - 1)
 
-    /** Returns this call as one that stands for [requests] requests. */
-    fun representing(requests: Double) = MeshCall(request, route, service, account, headers, fromBackend, arrivedAtMs, deadlineMs, requests)
+    /** Returns this call as one that stands for [requests] requests and is made for a retried one if [isRetry]. */
+    fun representing(requests: Double, isRetry: Boolean = false) =
+        MeshCall(request, route, service, account, headers, fromBackend, arrivedAtMs, deadlineMs, requests, isRetry)
 
     /** Returns the message for one attempt, with the time left until the deadline as its timeout. */
-    fun toForwardRequest(attemptId: String, firstAttempt: Boolean, nowMs: Long): ForwardRequest =
+    fun toForwardRequest(attemptId: String, earlier: EarlierAttempts, nowMs: Long): ForwardRequest =
         ForwardRequest
             .newBuilder()
             .setAttemptId(attemptId)
@@ -59,7 +62,8 @@
             .setAtMostOnce(atMostOnce)
             .setObjectiveMs(route.objectiveMs.toInt())
             .setRoute(route.name)
-            .setRepresentedRequests(if (firstAttempt) representedRequests.toFloat() else 0f)
+            .setRepresentedRequests(if (earlier == EarlierAttempts.NONE) representedRequests.toFloat() else 0f)
+            .setIsRetry(isRetry || earlier == EarlierAttempts.MAY_HAVE_RUN)
             .build()
 
     private companion object {
@@ -68,6 +72,9 @@
     }
 }
 
+/** What became of the earlier attempts of a call. */
+enum class EarlierAttempts { NONE, NOT_RUN, MAY_HAVE_RUN }
+
 /** Final result of a [MeshCall]. */
 sealed interface MeshResult {
     /** A backend server's complete response. */
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -243,8 +243,8 @@
         const val NS_PER_MS = 1_000_000L
         const val STOP_POLL_MS = 50L
 
-        /** Share of the fleet's retry ratio that daemons use, since a retried request makes its downstream calls again. */
-        const val RETRY_RATIO_SHARE = 0.25
+        /** Share of the fleet's retry ratio that daemons use; the rest is for retries that were attributed to the wrong request. */
+        const val RETRY_RATIO_SHARE = 0.6
 
         /** Maximum burst of retries from one daemon to one service after a period without retries. */
         const val RETRY_BURST = 1.0
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -99,7 +99,7 @@
     private fun sendBackendCall(exchange: HttpExchange, call: MeshCall) {
         val timeoutMs = call.request.timeoutMs
         val caller = if (timeoutMs == null) null else guard.callerOf(call.arrivedAtMs + timeoutMs)
-        send(exchange, call.representing(caller?.representedRequests ?: 1.0)) { result, usage ->
+        send(exchange, caller?.let { call.representing(it.representedRequests, it.isRetry) } ?: call) { result, usage ->
             guard.onBackendCall(caller, usage, overloaded = result is MeshResult.Refused && result.refusal == Refusal.OVERLOADED)
         }
     }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -23,7 +23,6 @@
 import wigeonreel.http.isHopByHop
 import wigeonreel.kernel.Service
 import wigeonreel.outcome.Refusal
-import wigeonreel.routing.FailureRate
 import wigeonreel.traffic.answerReply
 import wigeonreel.traffic.refusalReply
 import wigeonreel.traffic.toHttp
@@ -51,7 +50,6 @@
     private val feedback = CallFeedback()
     private val attribution = CallAttribution<GuardedRequest>()
     private val downstreamLoads = ServiceLoads()
-    private var lostAnswers = FailureRate()
 
     /** Number of requests that the server runs. */
     val running: Int get() = currentQueue.runningCount
@@ -62,7 +60,6 @@
     /** Applies the slots that [server] reports. If [isNew], starts a new queue and refuses the requests queued for the previous server. */
     fun onBackendReport(server: BackendReport, isNew: Boolean) {
         if (!isNew) return currentQueue.updateSlots(server.slots)
-        lostAnswers = FailureRate()
         val previous = currentQueue
         currentQueue = AdmissionQueue(server.slots)
         previous.clear().forEach { requests[it]?.evict(Refusal.NO_SERVER) }
@@ -148,7 +145,7 @@
             }
             state.inFlight++
             startedNs = System.nanoTime()
-            attribution.onStarted(this, deadlineMs, request.representedRequests.toDouble().coerceAtLeast(1.0), nowMs)
+            attribution.onStarted(this, deadlineMs, request.representedRequests.toDouble().coerceAtLeast(1.0), request.isRetry, nowMs)
             val message = HttpRequest(request.method, request.uri, request.headersList.toHttp(), request.body.toByteArray())
             val maxIdleMs = if (request.atMostOnce) MAX_IDLE_AT_MOST_ONCE_MS else Long.MAX_VALUE
             val options =
@@ -169,7 +166,6 @@
                     complete(null) { refusalReply(request, Refusal.SERVER_UNREACHABLE) }
                 }
                 is HttpResult.Lost -> {
-                    if (result.reason != LostReason.CANCELLED) lostAnswers.onOutcome(served = false, clock.nowMs())
                     val timedOut = result.reason == LostReason.TIMED_OUT
                     complete(elapsedMs().takeIf { timedOut }) { refusalReply(request, refusalFor(result.reason)) }
                 }
@@ -177,9 +173,7 @@
 
         private fun onAnswer(response: HttpResponse) {
             val elapsedMs = elapsedMs()
-            val verdict = protocol.verdict(response)
-            lostAnswers.onOutcome(served = verdict != ServerVerdict.UNVERIFIED, clock.nowMs())
-            when (verdict) {
+            when (protocol.verdict(response)) {
                 ServerVerdict.SERVED -> complete(elapsedMs) { relay(response) }
                 ServerVerdict.FAILED -> complete(elapsedMs.takeIf { clock.nowMs() >= deadlineMs }) { relay(response) }
                 ServerVerdict.UNVERIFIED -> complete(null) { refusalReply(request, Refusal.ANSWER_TRUNCATED) }
@@ -236,8 +230,7 @@
                     .setInFlight(inFlight)
                     .setLimit(queue.limit)
                     .setWaitMs(queue.expectedWaitMs().toInt())
-                    .setFailureRate(lostAnswers.current(clock.nowMs()).toFloat())
-                    .setServiceMs(queue.serviceMs(request.route).toFloat())
+                    .setServiceMs(queue.serviceMs(request.route)?.toFloat() ?: 0f)
                     .setOfferedLoad(queue.offeredLoad.toFloat())
                     .addAllCallLoads(downstreamLoads.current(clock.nowMs()).map { it.toWire() })
                     .build()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -13,6 +13,7 @@
 import wigeonreel.peer.PeerClients
 import wigeonreel.peer.PeerFailure
 import wigeonreel.retry.ServiceRetryBudget
+import wigeonreel.retry.attemptTimeoutMs
 import wigeonreel.routing.Placement
 import wigeonreel.routing.RouteDecision
 import wigeonreel.routing.Router
@@ -47,7 +48,7 @@
      * Returns a function that cancels the call.
      */
     fun send(call: MeshCall, onDone: (MeshResult, CallUsage) -> Unit): () -> Unit {
-        budget.onFirstAttempt(call.service)
+        if (call.isRetry) budget.onInheritedRetry(call.service) else budget.onFirstAttempt(call.service)
         return PendingCall(call, onDone).also { it.start() }::cancel
     }
 
@@ -58,6 +59,10 @@
         private val placement = Placement(call.fromBackend)
         private var cancelAttempt: () -> Unit = {}
         private var timer: Future<*>? = null
+        private var attemptTimer: Future<*>? = null
+
+        /** Attempt whose reply counts; that of an attempt that was given up does not. */
+        private var currentAttemptId = ""
         private var done = false
         private var serverAttempts = 0
         private var retryAfterMs = 0
@@ -83,6 +88,7 @@
             if (done) return
             done = true
             timer?.cancel(false)
+            attemptTimer?.cancel(false)
             cancelAttempt()
         }
 
@@ -104,34 +110,81 @@
 
         private fun attempt(member: Member, nowMs: Long) {
             placement.onTried(member.id)
-            val message = call.toForwardRequest("$selfId-${++attempts}", placement.tried.size == 1, nowMs)
+            val message = call.toForwardRequest("$selfId-${++attempts}", earlierAttempts(), nowMs)
             router.onSent(member.id)
             attemptPending = true
-            cancelAttempt =
-                if (member.id == selfId) {
-                    guard.forward(message) { onReply(member, message, it) }
-                } else {
-                    peers.forward(member.address, message, message.timeoutMs + REPLY_MARGIN_MS) { reply, cause ->
-                        if (reply != null) onReply(member, message, reply) else onNoReply(member, cause ?: PeerFailure.LOST)
-                    }
+            currentAttemptId = message.attemptId
+            startAttemptTimer(member, nowMs)
+            cancelAttempt = if (member.id == selfId) forwardHere(member, message) else forwardToPeer(member, message)
+        }
+
+        private fun forwardToPeer(member: Member, message: ForwardRequest) =
+            peers.forward(member.address, message, message.timeoutMs + REPLY_MARGIN_MS) { reply, cause ->
+                if (reply != null) onReply(member, message, reply) else onNoReply(member, message, cause ?: PeerFailure.LOST)
+            }
+
+        /** Forwards to the local guard, which does not reply to a request that is cancelled while it is queued. */
+        private fun forwardHere(member: Member, message: ForwardRequest): () -> Unit {
+            var ended = false
+            val cancel =
+                guard.forward(message) { reply ->
+                    if (!ended) onReply(member, message, reply)
+                    ended = true
                 }
+            return {
+                cancel()
+                if (!ended) router.onCancelled(member.id)
+                ended = true
+            }
         }
 
-        private fun onReply(member: Member, message: ForwardRequest, reply: ForwardReply) {
+        private fun earlierAttempts() =
+            when {
+                placement.tried.size == 1 -> EarlierAttempts.NONE
+                serverAttempts == 0 -> EarlierAttempts.NOT_RUN
+                else -> EarlierAttempts.MAY_HAVE_RUN
+            }
+
+        /** Gives up an attempt of an idempotent call whose answer is probably lost, if the call may be retried. */
+        private fun startAttemptTimer(member: Member, nowMs: Long) {
+            if (call.atMostOnce) return
+            val load = router.offeredLoad(state.view?.candidatesOf(call.service).orEmpty(), nowMs)
+            val timeoutMs = attemptTimeoutMs(router.serviceMs(member.id, call.route.name), load, call.deadlineMs - nowMs) ?: return
+            attemptTimer?.cancel(false)
+            attemptTimer = loop.schedule({ giveUpAttempt(member) }, timeoutMs, TimeUnit.MILLISECONDS)
+        }
+
+        private fun giveUpAttempt(member: Member) {
+            if (done || !attemptPending) return
+            serverAttempts++
+            if (!mayRetry()) {
+                serverAttempts--
+                return
+            }
+            mayHaveRun = true
             attemptPending = false
+            currentAttemptId = ""
+            cancelAttempt()
+            router.onOutcome(member.id, false, clock.nowMs())
+            attemptNext(Refusal.TIMED_OUT)
+        }
+
+        private fun onReply(member: Member, message: ForwardRequest, reply: ForwardReply) {
             router.onReply(member.id, reply.inFlight, reply.limit, clock.nowMs())
             router.onReport(member.id, call.route.name, reply.serverReport())
-            if (done) return
+            if (done || message.attemptId != currentAttemptId) return
+            onAttemptEnded()
             recordUsage(reply)
             if (reply.attemptId != message.attemptId) return refuse(Refusal.ANSWER_LOST)
             if (reply.outcome == Outcome.ANSWERED) {
-                return onAnswer(member, HttpResponse(reply.status, reply.headersList.toHttp(), reply.body.toByteArray()))
+                val response = HttpResponse(reply.status, reply.headersList.toHttp(), reply.body.toByteArray())
+                return onAnswer(member, response, madeCalls = reply.callUsesCount > 0)
             }
             retryAfterMs = if (retryAfterMs == 0) reply.retryAfterMs else minOf(retryAfterMs, reply.retryAfterMs)
             onRefused(reply.refusalKind, member)
         }
 
-        private fun ForwardReply.serverReport() = ServerReport(serviceMs.toDouble(), offeredLoad.toDouble(), failureRate.toDouble())
+        private fun ForwardReply.serverReport() = ServerReport(serviceMs.toDouble().takeIf { it > 0.0 }, offeredLoad.toDouble())
 
         private fun recordUsage(reply: ForwardReply) {
             val offeredLoad = router.offeredLoad(state.view?.candidatesOf(call.service).orEmpty(), clock.nowMs())
@@ -140,11 +193,12 @@
             loads = reply.callLoadsList.map { ServiceLoad(it.service, it.ratio.toDouble()) } + ServiceLoad(call.service, offeredLoad)
         }
 
-        private fun onAnswer(member: Member, response: HttpResponse) {
+        /** A server error after calls of its own is not retried: the calls were already, and a retry would make all of them again. */
+        private fun onAnswer(member: Member, response: HttpResponse, madeCalls: Boolean) {
             serverAttempts++
             router.onOutcome(member.id, response.status < SERVER_ERROR, clock.nowMs())
             if (response.status >= SERVER_ERROR) mayHaveRun = true
-            if (response.status < SERVER_ERROR || !mayRetry()) return finish(MeshResult.Answered(response))
+            if (response.status < SERVER_ERROR || madeCalls || !mayRetry()) return finish(MeshResult.Answered(response))
             failureResponse = response
             attemptNext(Refusal.ANSWER_LOST)
         }
@@ -162,9 +216,14 @@
             if (retryable && mayRetry()) attemptNext(refusal) else refuse(refusal)
         }
 
-        private fun onNoReply(member: Member, cause: PeerFailure) {
+        private fun onAttemptEnded() {
             attemptPending = false
-            if (done) return router.onCancelled(member.id)
+            attemptTimer?.cancel(false)
+        }
+
+        private fun onNoReply(member: Member, message: ForwardRequest, cause: PeerFailure) {
+            if (done || message.attemptId != currentAttemptId) return router.onCancelled(member.id)
+            onAttemptEnded()
             router.onFailure(member.id, clock.nowMs())
             onUnreachable(member.id)
             when (cause) {
@@ -197,6 +256,7 @@
             if (done) return
             done = true
             timer?.cancel(false)
+            attemptTimer?.cancel(false)
             onDone(result, CallUsage(uses, loads))
         }
     }
--- a/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
+++ b/scenario/src/main/kotlin/wigeonreel/bench/Main.kt
@@ -7,6 +7,7 @@
 import wigeonreel.command.fail
 import wigeonreel.replay.AccountReplay
 import wigeonreel.replay.LoadShapes
+import wigeonreel.replay.Mechanism
 import wigeonreel.replay.MeshReplay
 
 private const val MAX_FLEET_SIZE = 400
@@ -22,11 +23,29 @@
             fullName = "pattern",
             description = "Replay only the load patterns whose name starts so",
         ).default("")
+    val without by parser.option(
+        ArgType.String,
+        fullName = "without",
+        description = "Mechanism that replays leave out: ${Mechanism.entries.joinToString { it.optionName }}",
+    )
     parser.parse(args)
+    val excluded =
+        without?.let { name ->
+            Mechanism.entries.firstOrNull { it.optionName == name }
+                ?: fail(
+                    ExitCode.USAGE,
+                    "wigeon-bench: no mechanism is named '$name'; name one of ${Mechanism.entries.joinToString { it.optionName }}",
+                )
+        }
     when (name) {
         "fleet" -> FleetBench(seed.toLong()).run(listOf(25, 100, MAX_FLEET_SIZE))
         "replay" -> {
-            LoadShapes.all.filter { it.name.startsWith(pattern) }.forEach { println(MeshReplay(it, seed.toLong()).run().report()) }
+            LoadShapes.all
+                .filter {
+                    it.name.startsWith(
+                        pattern,
+                    )
+                }.forEach { println(MeshReplay(it, seed.toLong(), excluded).run().report()) }
             AccountReplay.LOADS.forEach { println(AccountReplay(it, seed.toLong()).run()) }
         }
         "overload" -> OverloadBench(seed.toLong()).run()
--- a/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/MeshReplay.kt
@@ -31,6 +31,7 @@
 internal class MeshReplay(
     private val shape: LoadShape,
     seed: Long,
+    private val without: Mechanism? = null,
 ) {
     private val queue = EventQueue(seed)
     private val startMs = queue.nowMs
@@ -135,7 +136,7 @@
                 else -> measures.onNotServed(kind, result.refusal)
             }
         }
-        if (entry.throttle.admits(kind.name, kind.priority, queue.nowMs)) {
+        if (without == Mechanism.ENTRY_THROTTLE || entry.throttle.admits(kind.name, kind.priority, queue.nowMs)) {
             send(
                 entry,
                 kind,
@@ -190,13 +191,18 @@
             arriveAtGuard(target, kind, nested, deadlineMs, representedRequests) { reply ->
                 queue.after(delayMs) {
                     from.router.onReply(target.member.id, reply.inFlight, reply.limit, queue.nowMs)
-                    from.router.onReport(target.member.id, kind.name, reply.report)
+                    from.router.onReport(target.member.id, kind.name, known(reply.report))
                     val offeredLoad = from.router.offeredLoad(from.view.candidatesOf(kind.service), queue.nowMs)
                     val uses = reply.uses.plusUses(listOf(ServiceUse(kind.service, reply.slotMs)))
                     val loads = reply.loads + ServiceLoad(kind.service, offeredLoad)
                     val shed = reply.refusal == Refusal.SERVER_SHED
                     if (reply.refusal == null || shed) from.router.onOutcome(target.member.id, reply.ok, queue.nowMs)
-                    val shouldRetry = reply.refusal != null && !shed && !isDone() && placement.mayTryAnother(reply.refusal)
+                    val shouldRetry =
+                        reply.refusal != null &&
+                            !shed &&
+                            !isDone() &&
+                            placement.mayTryAnother(reply.refusal) &&
+                            without != Mechanism.OTHER_GUARDS
                     if (shouldRetry) {
                         place(from, kind, nested, deadlineMs, 0.0, placement, isDone, finish)
                     } else {
@@ -207,6 +213,13 @@
         }
     }
 
+    /** Returns [report] as the mechanisms in use know it. */
+    private fun known(report: ServerReport) =
+        when (without) {
+            Mechanism.SERVICE_TIMES -> report.copy(serviceMs = null)
+            else -> report
+        }
+
     private fun arriveAtGuard(
         vm: ReplayVm,
         kind: RequestKind,
@@ -218,7 +231,11 @@
         val nowMs = queue.nowMs
         val request = ReplayRequest(kind, deadlineMs, representedRequests, onReply)
         if (vm.isDown) return reply(vm, request, false, Refusal.NO_SERVER)
-        if (!vm.feedback.admits(!nested && kind.priority == 0, nowMs)) return refuseOverloaded(vm, request, nested)
+        if (without != Mechanism.CALL_FEEDBACK &&
+            !vm.feedback.admits(!nested && kind.priority == 0, nowMs)
+        ) {
+            return refuseOverloaded(vm, request, nested)
+        }
         val arrival = Arrival(kind.name, nested, kind.priority, deadlineMs, kind.objectiveMs, representedRequests)
         val result = vm.admissionQueue.arrive(arrival, nowMs)
         result.displaced.forEach { displace(vm, it) }
@@ -249,10 +266,9 @@
         vm.waitingRequests.remove(ticket)
         if (queue.chance(vm.shedShare)) return queue.after(1) { end(vm, request, false, Refusal.SERVER_SHED) }
         val answers = !queue.chance(vm.unansweredShare)
-        request.isUnanswered = !answers
         val workMs = (request.kind.workMs * workTimeFactor() * vm.slowFactor / vm.speed).toLong().coerceAtLeast(1)
         val startedMs = queue.nowMs
-        vm.attribution.onStarted(request, request.deadlineMs, request.representedRequests, startedMs)
+        vm.attribution.onStarted(request, request.deadlineMs, request.representedRequests, false, startedMs)
         makeCalls(vm, request) { ok ->
             val remainingWorkMs =
                 when {
@@ -304,7 +320,6 @@
         val elapsedMs = (queue.nowMs - request.startedMs).toDouble()
         val next = vm.admissionQueue.finish(request.ticket!!, elapsedMs.takeIf { ok || queue.nowMs >= request.deadlineMs }, queue.nowMs)
         val uses = vm.attribution.onEnded(request)
-        if (refusal == null) vm.lostAnswers.onOutcome(served = inTime && !request.isUnanswered, queue.nowMs)
         reply(vm, request, ok && inTime, refusal, uses, elapsedMs)
         next.forEach { ticket -> vm.waitingRequests[ticket]?.let { start(vm, it, ticket) } }
     }
@@ -329,7 +344,7 @@
                 retryAfterMs,
                 inFlight,
                 queue.limit,
-                ServerReport(queue.serviceMs(request.kind.name), queue.offeredLoad, vm.lostAnswers.current(this.queue.nowMs)),
+                ServerReport(queue.serviceMs(request.kind.name), queue.offeredLoad),
                 slotMs,
                 uses,
                 vm.downstreamLoads.current(this.queue.nowMs),
--- a/scenario/src/main/kotlin/wigeonreel/replay/ReplayVm.kt
+++ b/scenario/src/main/kotlin/wigeonreel/replay/ReplayVm.kt
@@ -10,7 +10,6 @@
 import wigeonreel.admission.Ticket
 import wigeonreel.membership.Member
 import wigeonreel.outcome.Refusal
-import wigeonreel.routing.FailureRate
 import wigeonreel.routing.Router
 import wigeonreel.routing.ServerReport
 import wigeonreel.traffic.FleetView
@@ -28,7 +27,6 @@
     val throttle = EntryThrottle()
     val attribution = CallAttribution<ReplayRequest>()
     val downstreamLoads = ServiceLoads()
-    val lostAnswers = FailureRate()
     val waitingRequests = HashMap<Ticket, ReplayRequest>()
     var isDown = false
     var slowFactor = 1.0
@@ -47,7 +45,6 @@
     var ticket: Ticket? = null
     var startedMs = 0L
     var hasReply = false
-    var isUnanswered = false
 }
 
 /**
--- a/wire/src/main/java/wigeonreel/wire/ForwardReply.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReply.java
@@ -485,7 +485,7 @@
   private float serviceMs_ = 0F;
   /**
    * <pre>
-   * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
    * </pre>
    *
    * <code>float service_ms = 19;</code>
@@ -496,21 +496,6 @@
     return serviceMs_;
   }
 
-  public static final int FAILURE_RATE_FIELD_NUMBER = 20;
-  private float failureRate_ = 0F;
-  /**
-   * <pre>
-   * Share of the server's latest requests that it lost.
-   * </pre>
-   *
-   * <code>float failure_rate = 20;</code>
-   * @return The failureRate.
-   */
-  @java.lang.Override
-  public float getFailureRate() {
-    return failureRate_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -582,9 +567,6 @@
     if (java.lang.Float.floatToRawIntBits(serviceMs_) != 0) {
       output.writeFloat(19, serviceMs_);
     }
-    if (java.lang.Float.floatToRawIntBits(failureRate_) != 0) {
-      output.writeFloat(20, failureRate_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -668,10 +650,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFloatSize(19, serviceMs_);
     }
-    if (java.lang.Float.floatToRawIntBits(failureRate_) != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFloatSize(20, failureRate_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -730,9 +708,6 @@
     if (java.lang.Float.floatToIntBits(getServiceMs())
         != java.lang.Float.floatToIntBits(
             other.getServiceMs())) return false;
-    if (java.lang.Float.floatToIntBits(getFailureRate())
-        != java.lang.Float.floatToIntBits(
-            other.getFailureRate())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -794,9 +769,6 @@
     hash = (37 * hash) + SERVICE_MS_FIELD_NUMBER;
     hash = (53 * hash) + java.lang.Float.floatToIntBits(
         getServiceMs());
-    hash = (37 * hash) + FAILURE_RATE_FIELD_NUMBER;
-    hash = (53 * hash) + java.lang.Float.floatToIntBits(
-        getFailureRate());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -978,7 +950,6 @@
       }
       bitField0_ = (bitField0_ & ~0x00020000);
       serviceMs_ = 0F;
-      failureRate_ = 0F;
       return this;
     }
 
@@ -1095,9 +1066,6 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.serviceMs_ = serviceMs_;
       }
-      if (((from_bitField0_ & 0x00080000) != 0)) {
-        result.failureRate_ = failureRate_;
-      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1275,9 +1243,6 @@
       if (other.getServiceMs() != 0F) {
         setServiceMs(other.getServiceMs());
       }
-      if (other.getFailureRate() != 0F) {
-        setFailureRate(other.getFailureRate());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1425,11 +1390,6 @@
               bitField0_ |= 0x00040000;
               break;
             } // case 157
-            case 165: {
-              failureRate_ = input.readFloat();
-              bitField0_ |= 0x00080000;
-              break;
-            } // case 165
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3068,7 +3028,7 @@
     private float serviceMs_ ;
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
@@ -3080,7 +3040,7 @@
     }
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
@@ -3096,7 +3056,7 @@
     }
     /**
      * <pre>
-     * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+     * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
      * </pre>
      *
      * <code>float service_ms = 19;</code>
@@ -3108,50 +3068,6 @@
       onChanged();
       return this;
     }
-
-    private float failureRate_ ;
-    /**
-     * <pre>
-     * Share of the server's latest requests that it lost.
-     * </pre>
-     *
-     * <code>float failure_rate = 20;</code>
-     * @return The failureRate.
-     */
-    @java.lang.Override
-    public float getFailureRate() {
-      return failureRate_;
-    }
-    /**
-     * <pre>
-     * Share of the server's latest requests that it lost.
-     * </pre>
-     *
-     * <code>float failure_rate = 20;</code>
-     * @param value The failureRate to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFailureRate(float value) {
-
-      failureRate_ = value;
-      bitField0_ |= 0x00080000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Share of the server's latest requests that it lost.
-     * </pre>
-     *
-     * <code>float failure_rate = 20;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFailureRate() {
-      bitField0_ = (bitField0_ & ~0x00080000);
-      failureRate_ = 0F;
-      onChanged();
-      return this;
-    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardReplyOrBuilder.java
@@ -266,21 +266,11 @@
 
   /**
    * <pre>
-   * Mean time for which requests of the same route hold a slot of the server, in milliseconds.
+   * Mean time for which requests of the same route hold a slot of the server, in milliseconds. 0 before the first one.
    * </pre>
    *
    * <code>float service_ms = 19;</code>
    * @return The serviceMs.
    */
   float getServiceMs();
-
-  /**
-   * <pre>
-   * Share of the server's latest requests that it lost.
-   * </pre>
-   *
-   * <code>float failure_rate = 20;</code>
-   * @return The failureRate.
-   */
-  float getFailureRate();
 }
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequest.java
@@ -556,6 +556,21 @@
     return representedRequests_;
   }
 
+  public static final int IS_RETRY_FIELD_NUMBER = 21;
+  private boolean isRetry_ = false;
+  /**
+   * <pre>
+   * Whether an earlier attempt of this request, or of one that it is made for, may have run.
+   * </pre>
+   *
+   * <code>bool is_retry = 21;</code>
+   * @return The isRetry.
+   */
+  @java.lang.Override
+  public boolean getIsRetry() {
+    return isRetry_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -630,6 +645,9 @@
     if (java.lang.Float.floatToRawIntBits(representedRequests_) != 0) {
       output.writeFloat(20, representedRequests_);
     }
+    if (isRetry_ != false) {
+      output.writeBool(21, isRetry_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -711,6 +729,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFloatSize(20, representedRequests_);
     }
+    if (isRetry_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(21, isRetry_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -768,6 +790,8 @@
     if (java.lang.Float.floatToIntBits(getRepresentedRequests())
         != java.lang.Float.floatToIntBits(
             other.getRepresentedRequests())) return false;
+    if (getIsRetry()
+        != other.getIsRetry()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -825,6 +849,9 @@
     hash = (37 * hash) + REPRESENTED_REQUESTS_FIELD_NUMBER;
     hash = (53 * hash) + java.lang.Float.floatToIntBits(
         getRepresentedRequests());
+    hash = (37 * hash) + IS_RETRY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getIsRetry());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -982,6 +1009,7 @@
       objectiveMs_ = 0;
       route_ = "";
       representedRequests_ = 0F;
+      isRetry_ = false;
       return this;
     }
 
@@ -1085,6 +1113,9 @@
       if (((from_bitField0_ & 0x00080000) != 0)) {
         result.representedRequests_ = representedRequests_;
       }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.isRetry_ = isRetry_;
+      }
     }
 
     @java.lang.Override
@@ -1230,6 +1261,9 @@
       if (other.getRepresentedRequests() != 0F) {
         setRepresentedRequests(other.getRepresentedRequests());
       }
+      if (other.getIsRetry() != false) {
+        setIsRetry(other.getIsRetry());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1364,6 +1398,11 @@
               bitField0_ |= 0x00080000;
               break;
             } // case 165
+            case 168: {
+              isRetry_ = input.readBool();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 168
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2643,6 +2682,50 @@
       onChanged();
       return this;
     }
+
+    private boolean isRetry_ ;
+    /**
+     * <pre>
+     * Whether an earlier attempt of this request, or of one that it is made for, may have run.
+     * </pre>
+     *
+     * <code>bool is_retry = 21;</code>
+     * @return The isRetry.
+     */
+    @java.lang.Override
+    public boolean getIsRetry() {
+      return isRetry_;
+    }
+    /**
+     * <pre>
+     * Whether an earlier attempt of this request, or of one that it is made for, may have run.
+     * </pre>
+     *
+     * <code>bool is_retry = 21;</code>
+     * @param value The isRetry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIsRetry(boolean value) {
+
+      isRetry_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether an earlier attempt of this request, or of one that it is made for, may have run.
+     * </pre>
+     *
+     * <code>bool is_retry = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIsRetry() {
+      bitField0_ = (bitField0_ & ~0x00100000);
+      isRetry_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/ForwardRequestOrBuilder.java
@@ -226,4 +226,14 @@
    * @return The representedRequests.
    */
   float getRepresentedRequests();
+
+  /**
+   * <pre>
+   * Whether an earlier attempt of this request, or of one that it is made for, may have run.
+   * </pre>
+   *
+   * <code>bool is_retry = 21;</code>
+   * @return The isRetry.
+   */
+  boolean getIsRetry();
 }
--- a/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
@@ -142,7 +142,7 @@
       "e.ForwardRequestH\000\022\033\n\021cancel_attempt_id\030" +
       "\002 \001(\tH\000\022\016\n\004ping\030\003 \001(\004H\000\022/\n\006tokens\030\004 \001(\0132" +
       "\035.wigeonreel.wire.TokenRequestH\000B\007\n\005fram" +
-      "e\"\233\003\n\016ForwardRequest\022\022\n\nattempt_id\030\001 \001(\t" +
+      "e\"\255\003\n\016ForwardRequest\022\022\n\nattempt_id\030\001 \001(\t" +
       "\022\017\n\007root_id\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007ac" +
       "count\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\022\013\n\003uri\030\006 \001(\t" +
       "\022(\n\007headers\030\007 \003(\0132\027.wigeonreel.wire.Head" +
@@ -152,71 +152,71 @@
       "_at_ms\030\016 \001(\003\022\016\n\006weight\030\017 \001(\001\022\020\n\010priority" +
       "\030\020 \001(\r\022\024\n\014at_most_once\030\021 \001(\010\022\024\n\014objectiv" +
       "e_ms\030\022 \001(\r\022\r\n\005route\030\023 \001(\t\022\034\n\024represented" +
-      "_requests\030\024 \001(\002\".\n\nServiceUse\022\017\n\007service" +
-      "\030\001 \001(\t\022\017\n\007slot_ms\030\002 \001(\002\"-\n\013ServiceLoad\022\017" +
-      "\n\007service\030\001 \001(\t\022\r\n\005ratio\030\002 \001(\002\"\204\004\n\014Forwa" +
-      "rdReply\022\022\n\nattempt_id\030\001 \001(\t\022)\n\007outcome\030\002" +
-      " \001(\0162\030.wigeonreel.wire.Outcome\022\016\n\006status" +
-      "\030\003 \001(\r\022(\n\007headers\030\004 \003(\0132\027.wigeonreel.wir" +
-      "e.Header\022\014\n\004body\030\005 \001(\014\022\017\n\007refusal\030\006 \001(\t\022" +
-      "\026\n\016retry_after_ms\030\007 \001(\r\022\025\n\rretries_spent" +
-      "\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n\tin_flight\030\n \001(\r\022\r" +
-      "\n\005limit\030\013 \001(\r\022\017\n\007wait_ms\030\014 \001(\r\022\014\n\004pong\030\r" +
-      " \001(\004\022,\n\006grants\030\016 \001(\0132\034.wigeonreel.wire.T" +
-      "okenGrants\022\024\n\014offered_load\030\017 \001(\002\022\017\n\007slot" +
-      "_ms\030\020 \001(\002\022.\n\tcall_uses\030\021 \003(\0132\033.wigeonree" +
-      "l.wire.ServiceUse\0220\n\ncall_loads\030\022 \003(\0132\034." +
-      "wigeonreel.wire.ServiceLoad\022\022\n\nservice_m" +
-      "s\030\023 \001(\002\022\024\n\014failure_rate\030\024 \001(\002\"W\n\014BlockRe" +
-      "quest\022\017\n\007service\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022" +
-      "\013\n\003key\030\003 \001(\t\022\030\n\020home_set_version\030\004 \001(\003\"h" +
-      "\n\nBlockReply\022*\n\005state\030\001 \001(\0162\033.wigeonreel" +
-      ".wire.BlockState\022.\n\007outcome\030\002 \001(\0132\035.wige" +
-      "onreel.wire.ForwardReply\"\201\001\n\rBorrowReque" +
-      "st\022\017\n\007account\030\001 \001(\t\022\020\n\010borrower\030\002 \001(\t\022\017\n" +
-      "\007loan_id\030\003 \001(\004\022\016\n\006tokens\030\004 \001(\r\022,\n\007report" +
-      "s\030\005 \003(\0132\033.wigeonreel.wire.LoanReport\"<\n\n" +
-      "LoanReport\022\017\n\007loan_id\030\001 \001(\004\022\r\n\005spent\030\002 \001" +
-      "(\r\022\016\n\006closed\030\003 \001(\010\"?\n\013BorrowReply\022\017\n\007loa" +
-      "n_id\030\001 \001(\004\022\016\n\006tokens\030\002 \001(\r\022\017\n\007wait_ms\030\003 " +
-      "\001(\r\"+\n\022FetchConfigRequest\022\025\n\rafter_versi" +
-      "on\030\001 \001(\003\"f\n\013ConfigDelta\022\024\n\014from_version\030" +
-      "\001 \001(\003\022\022\n\nto_version\030\002 \001(\003\022-\n\007entries\030\003 \003" +
-      "(\0132\034.wigeonreel.wire.ConfigEntry\"L\n\013Conf" +
-      "igEntry\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\017\n\007" +
-      "version\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\" \n\rConfig" +
-      "Receipt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Gossip\022*\n\004k" +
-      "ind\030\001 \001(\0162\034.wigeonreel.wire.Gossip.Kind\022" +
-      "\020\n\010sequence\030\002 \001(\004\022\'\n\006sender\030\003 \001(\0132\027.wige" +
-      "onreel.wire.Member\022\016\n\006target\030\004 \001(\t\022(\n\007up" +
-      "dates\030\005 \003(\0132\027.wigeonreel.wire.Member\022\026\n\016" +
-      "config_version\030\006 \001(\003\022,\n\006config\030\007 \001(\0132\034.w" +
-      "igeonreel.wire.ConfigDelta\022\016\n\006digest\030\010 \001" +
-      "(\006\022\026\n\016bucket_digests\030\t \003(\006\022\033\n\023config_pro" +
-      "ven_at_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING\020\000\022\007\n\003ACK" +
-      "\020\001\022\020\n\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004" +
-      "\"\340\001\n\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\004\022+\n\005state\030\003 \001(\0162\034.wigeonreel.wire.Me" +
-      "mberState\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001" +
-      "(\r\022\016\n\006region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001" +
-      "(\t\022\017\n\007service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005re" +
-      "ady\030\n \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014" +
-      "\n\010ANSWERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V" +
-      "\n\nBlockState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNIN" +
-      "G\020\001\022\r\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005S" +
-      "PENT\020\004*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSP" +
-      "ECT\020\001\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200" +
-      "\003\n\004Peer\022L\n\010Exchange\022\035.wigeonreel.wire.Re" +
-      "questFrame\032\035.wigeonreel.wire.ForwardRepl" +
-      "y(\0010\001\022C\n\005Block\022\035.wigeonreel.wire.BlockRe" +
-      "quest\032\033.wigeonreel.wire.BlockReply\022F\n\006Bo" +
-      "rrow\022\036.wigeonreel.wire.BorrowRequest\032\034.w" +
-      "igeonreel.wire.BorrowReply\022P\n\013FetchConfi" +
-      "g\022#.wigeonreel.wire.FetchConfigRequest\032\034" +
-      ".wigeonreel.wire.ConfigDelta\022K\n\013OfferCon" +
-      "fig\022\034.wigeonreel.wire.ConfigDelta\032\036.wige" +
-      "onreel.wire.ConfigReceiptB\023\n\017wigeonreel." +
-      "wireP\001b\006proto3"
+      "_requests\030\024 \001(\002\022\020\n\010is_retry\030\025 \001(\010\".\n\nSer" +
+      "viceUse\022\017\n\007service\030\001 \001(\t\022\017\n\007slot_ms\030\002 \001(" +
+      "\002\"-\n\013ServiceLoad\022\017\n\007service\030\001 \001(\t\022\r\n\005rat" +
+      "io\030\002 \001(\002\"\356\003\n\014ForwardReply\022\022\n\nattempt_id\030" +
+      "\001 \001(\t\022)\n\007outcome\030\002 \001(\0162\030.wigeonreel.wire" +
+      ".Outcome\022\016\n\006status\030\003 \001(\r\022(\n\007headers\030\004 \003(" +
+      "\0132\027.wigeonreel.wire.Header\022\014\n\004body\030\005 \001(\014" +
+      "\022\017\n\007refusal\030\006 \001(\t\022\026\n\016retry_after_ms\030\007 \001(" +
+      "\r\022\025\n\rretries_spent\030\010 \001(\r\022\013\n\003cut\030\t \001(\r\022\021\n" +
+      "\tin_flight\030\n \001(\r\022\r\n\005limit\030\013 \001(\r\022\017\n\007wait_" +
+      "ms\030\014 \001(\r\022\014\n\004pong\030\r \001(\004\022,\n\006grants\030\016 \001(\0132\034" +
+      ".wigeonreel.wire.TokenGrants\022\024\n\014offered_" +
+      "load\030\017 \001(\002\022\017\n\007slot_ms\030\020 \001(\002\022.\n\tcall_uses" +
+      "\030\021 \003(\0132\033.wigeonreel.wire.ServiceUse\0220\n\nc" +
+      "all_loads\030\022 \003(\0132\034.wigeonreel.wire.Servic" +
+      "eLoad\022\022\n\nservice_ms\030\023 \001(\002\"W\n\014BlockReques" +
+      "t\022\017\n\007service\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\013\n\003k" +
+      "ey\030\003 \001(\t\022\030\n\020home_set_version\030\004 \001(\003\"h\n\nBl" +
+      "ockReply\022*\n\005state\030\001 \001(\0162\033.wigeonreel.wir" +
+      "e.BlockState\022.\n\007outcome\030\002 \001(\0132\035.wigeonre" +
+      "el.wire.ForwardReply\"\201\001\n\rBorrowRequest\022\017" +
+      "\n\007account\030\001 \001(\t\022\020\n\010borrower\030\002 \001(\t\022\017\n\007loa" +
+      "n_id\030\003 \001(\004\022\016\n\006tokens\030\004 \001(\r\022,\n\007reports\030\005 " +
+      "\003(\0132\033.wigeonreel.wire.LoanReport\"<\n\nLoan" +
+      "Report\022\017\n\007loan_id\030\001 \001(\004\022\r\n\005spent\030\002 \001(\r\022\016" +
+      "\n\006closed\030\003 \001(\010\"?\n\013BorrowReply\022\017\n\007loan_id" +
+      "\030\001 \001(\004\022\016\n\006tokens\030\002 \001(\r\022\017\n\007wait_ms\030\003 \001(\r\"" +
+      "+\n\022FetchConfigRequest\022\025\n\rafter_version\030\001" +
+      " \001(\003\"f\n\013ConfigDelta\022\024\n\014from_version\030\001 \001(" +
+      "\003\022\022\n\nto_version\030\002 \001(\003\022-\n\007entries\030\003 \003(\0132\034" +
+      ".wigeonreel.wire.ConfigEntry\"L\n\013ConfigEn" +
+      "try\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\017\n\007vers" +
+      "ion\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\" \n\rConfigRece" +
+      "ipt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Gossip\022*\n\004kind\030" +
+      "\001 \001(\0162\034.wigeonreel.wire.Gossip.Kind\022\020\n\010s" +
+      "equence\030\002 \001(\004\022\'\n\006sender\030\003 \001(\0132\027.wigeonre" +
+      "el.wire.Member\022\016\n\006target\030\004 \001(\t\022(\n\007update" +
+      "s\030\005 \003(\0132\027.wigeonreel.wire.Member\022\026\n\016conf" +
+      "ig_version\030\006 \001(\003\022,\n\006config\030\007 \001(\0132\034.wigeo" +
+      "nreel.wire.ConfigDelta\022\016\n\006digest\030\010 \001(\006\022\026" +
+      "\n\016bucket_digests\030\t \003(\006\022\033\n\023config_proven_" +
+      "at_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020" +
+      "\n\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n" +
+      "\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
+      "\022+\n\005state\030\003 \001(\0162\034.wigeonreel.wire.Member" +
+      "State\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016" +
+      "\n\006region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001(\t\022\017" +
+      "\n\007service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005ready\030" +
+      "\n \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014\n\010AN" +
+      "SWERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBl" +
+      "ockState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNING\020\001\022" +
+      "\r\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005SPENT" +
+      "\020\004*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020" +
+      "\001\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n\004P" +
+      "eer\022L\n\010Exchange\022\035.wigeonreel.wire.Reques" +
+      "tFrame\032\035.wigeonreel.wire.ForwardReply(\0010" +
+      "\001\022C\n\005Block\022\035.wigeonreel.wire.BlockReques" +
+      "t\032\033.wigeonreel.wire.BlockReply\022F\n\006Borrow" +
+      "\022\036.wigeonreel.wire.BorrowRequest\032\034.wigeo" +
+      "nreel.wire.BorrowReply\022P\n\013FetchConfig\022#." +
+      "wigeonreel.wire.FetchConfigRequest\032\034.wig" +
+      "eonreel.wire.ConfigDelta\022K\n\013OfferConfig\022" +
+      "\034.wigeonreel.wire.ConfigDelta\032\036.wigeonre" +
+      "el.wire.ConfigReceiptB\023\n\017wigeonreel.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -263,7 +263,7 @@
     internal_static_wigeonreel_wire_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ForwardRequest_descriptor,
-        new java.lang.String[] { "AttemptId", "RootId", "Service", "Account", "Method", "Uri", "Headers", "Body", "Rank", "Depth", "TimeoutMs", "RetryBudget", "IdempotencyKey", "SentAtMs", "Weight", "Priority", "AtMostOnce", "ObjectiveMs", "Route", "RepresentedRequests", });
+        new java.lang.String[] { "AttemptId", "RootId", "Service", "Account", "Method", "Uri", "Headers", "Body", "Rank", "Depth", "TimeoutMs", "RetryBudget", "IdempotencyKey", "SentAtMs", "Weight", "Priority", "AtMostOnce", "ObjectiveMs", "Route", "RepresentedRequests", "IsRetry", });
     internal_static_wigeonreel_wire_ServiceUse_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_wigeonreel_wire_ServiceUse_fieldAccessorTable = new
@@ -281,7 +281,7 @@
     internal_static_wigeonreel_wire_ForwardReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_ForwardReply_descriptor,
-        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", "WaitMs", "Pong", "Grants", "OfferedLoad", "SlotMs", "CallUses", "CallLoads", "ServiceMs", "FailureRate", });
+        new java.lang.String[] { "AttemptId", "Outcome", "Status", "Headers", "Body", "Refusal", "RetryAfterMs", "RetriesSpent", "Cut", "InFlight", "Limit", "WaitMs", "Pong", "Grants", "OfferedLoad", "SlotMs", "CallUses", "CallLoads", "ServiceMs", });
     internal_static_wigeonreel_wire_BlockRequest_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_wigeonreel_wire_BlockRequest_fieldAccessorTable = new
