--- a/review/standin/HeapCase.java
+++ b/review/standin/HeapCase.java
@@ -5,8 +5,8 @@
 
 /** Clients of one machine send non-idempotent requests with large answers at the same time and read the answers slowly. */
 final class HeapCase {
-    private static final int ANSWER_BYTES = Integer.getInteger("bytes", 4_000_000);
-    private static final int CLIENTS = Integer.getInteger("clients", 14);
+    private static final int ANSWER_BYTES = 4_000_000;
+    private static final int CLIENTS = 14;
     private static final int REQUESTS_PER_CLIENT = 4;
     private static final int READ_PER_S = 1_000_000;
 
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -72,7 +72,7 @@
             socket.setTcpNoDelay(true);
             InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
             while (true) {
-                Message request = read(in, Long.MAX_VALUE, null);
+                Message request = read(in, null);
                 if (request == null || !request.complete || !handler.handle(request, socket)) return;
             }
         } catch (Exception end) {
@@ -86,7 +86,7 @@
     }
 
     /** Reads one message; returns null if the connection ends before it. */
-    static Message read(InputStream in, long maxBody, Pace pace) throws Exception {
+    static Message read(InputStream in, Pace pace) throws Exception {
         String line = line(in);
         if (line == null) return null;
         Message message = new Message();
@@ -156,7 +156,7 @@
             socket.setSoTimeout(timeoutMs);
             socket.getOutputStream().write(message(firstLine, headers, body));
             socket.getOutputStream().flush();
-            return read(new java.io.BufferedInputStream(socket.getInputStream()), Long.MAX_VALUE, null);
+            return read(new java.io.BufferedInputStream(socket.getInputStream()), null);
         } catch (Exception none) {
             return null;
         }
--- a/review/standin/RejoinCase.java
+++ b/review/standin/RejoinCase.java
@@ -5,7 +5,7 @@
 
 /** Machines are removed for good, one batch after the other; later the processes of all remaining machines are killed and start again. */
 final class RejoinCase {
-    private static final int REMOVED = Integer.getInteger("removed", 104);
+    private static final int REMOVED = 104;
     private static final int BATCH = 13;
     private static final int LIVE = 4;
     private static final int RECOVERY_MS = 15_000;
