Log what tells lost requests apart: lines of a shutdown, unexpected errors on connections, how a response was lost

The log now stays open until the daemon has stopped. A caller's connection that is closed after an unexpected error is logged with its cause, and guard lines tell closed, reset and silent connections apart (field lost). stopped reports the requests that are still open.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -121,7 +121,7 @@
         awaitStage(startedNs, ShutdownStage.DONE)
         traffic.execute { state.closing = true }
         while (openRequests() > 0 && sinceMs(startedNs) < settings.graceMs - GRACE_MARGIN_MS) Thread.sleep(STOP_POLL_MS)
-        events.changed("stopped", "inFlight=${state.inFlight}")
+        events.changed("stopped", "openRequests=${openRequests()} afterMs=${sinceMs(startedNs)}")
         kernel.stop()
     }
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -97,6 +97,9 @@
         private var running: Cancellable? = null
         private var startedNs = 0L
 
+        /** Reason for which the server's response was lost, or null. */
+        private var lostReason: LostReason? = null
+
         fun admit() {
             if (state.closing) return refuse(Refusal.DRAINING, 0)
             if (!state.backendReady(arrivedAtMs) || state.backend.current?.service != request.service) return refuse(Refusal.NO_SERVER, 0)
@@ -166,6 +169,7 @@
                     complete(null) { refusalReply(request, Refusal.SERVER_UNREACHABLE) }
                 }
                 is HttpResult.Lost -> {
+                    lostReason = result.reason
                     val timedOut = result.reason == LostReason.TIMED_OUT
                     complete(elapsedMs().takeIf { timedOut }) { refusalReply(request, refusalFor(result.reason)) }
                 }
@@ -192,7 +196,7 @@
         private fun refusalFor(reason: LostReason) =
             when (reason) {
                 LostReason.TIMED_OUT -> Refusal.TIMED_OUT
-                LostReason.CLOSED, LostReason.CANCELLED -> Refusal.ANSWER_LOST
+                LostReason.CLOSED, LostReason.RESET, LostReason.CANCELLED -> Refusal.ANSWER_LOST
                 LostReason.TRUNCATED -> Refusal.ANSWER_TRUNCATED
                 LostReason.TOO_LARGE -> Refusal.ANSWER_TOO_LARGE
             }
@@ -234,7 +238,7 @@
                     .setOfferedLoad(queue.offeredLoad.toFloat())
                     .addAllCallLoads(downstreamLoads.current(clock.nowMs()).map { it.toWire() })
                     .build()
-            events.guarded(request, built, clock.nowMs() - arrivedAtMs)
+            events.guarded(request, built, clock.nowMs() - arrivedAtMs, lostReason)
             onReply(built)
         }
     }
--- a/daemon/src/main/kotlin/wigeonreel/traffic/GuardService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/GuardService.kt
@@ -137,7 +137,7 @@
         if (reason == LostReason.TIMED_OUT) guard.onShed() else guard.onCancelled()
         val refusal =
             when (reason) {
-                LostReason.TIMED_OUT, LostReason.CLOSED, LostReason.CANCELLED -> Refusal.ANSWER_LOST
+                LostReason.TIMED_OUT, LostReason.CLOSED, LostReason.RESET, LostReason.CANCELLED -> Refusal.ANSWER_LOST
                 LostReason.TRUNCATED -> Refusal.ANSWER_TRUNCATED
                 LostReason.TOO_LARGE -> Refusal.ANSWER_TOO_LARGE
             }
--- a/dist/src/main/kotlin/wigeonreel/dist/DaemonMain.kt
+++ b/dist/src/main/kotlin/wigeonreel/dist/DaemonMain.kt
@@ -8,6 +8,7 @@
 import wigeonreel.daemon.DaemonSettings
 import wigeonreel.daemon.daemonSettings
 import wigeonreel.http.HttpConnector
+import wigeonreel.kernel.Log
 import wigeonreel.platform.HttpTableService
 import wigeonreel.settings.readSettings
 import java.nio.file.Path
@@ -35,6 +36,7 @@
 private const val MAX_STORE_RESPONSE_BYTES = 16 * 1024 * 1024
 
 private fun run(settings: DaemonSettings) {
+    Log.keepOpenDuringShutdown()
     System.setProperty("wigeonreel.log.level", if (settings.logDecisions) "debug" else "info")
     val storeLimits = settings.http.copy(maxBodyBytes = MAX_STORE_RESPONSE_BYTES)
     val daemon =
@@ -44,6 +46,11 @@
     runCatching { daemon.start() }.onFailure {
         fail(ExitCode.FAILED, "wigeonreeld: can't start (${it.message}); check that the listen addresses are free")
     }
-    Runtime.getRuntime().addShutdownHook(Thread(daemon::drainAndStop, "shutdown"))
+    Runtime.getRuntime().addShutdownHook(Thread({ shutDown(daemon) }, "shutdown"))
     CountDownLatch(1).await()
 }
+
+private fun shutDown(daemon: Daemon) {
+    daemon.drainAndStop()
+    Log.close()
+}
--- a/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
@@ -60,7 +60,7 @@
 
     @Deprecated("Netty's signature")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        val reason = if (cause is TooLongFrameException) LostReason.TOO_LARGE else LostReason.CLOSED
+        val reason = if (cause is TooLongFrameException) LostReason.TOO_LARGE else LostReason.RESET
         ctx
             .channel()
             .attr(CALL)
--- a/http/src/main/kotlin/wigeonreel/http/HttpMessages.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpMessages.kt
@@ -62,7 +62,7 @@
 }
 
 /** Reason for which no complete response was received. */
-enum class LostReason { TIMED_OUT, CLOSED, TRUNCATED, TOO_LARGE, CANCELLED }
+enum class LostReason { TIMED_OUT, CLOSED, RESET, TRUNCATED, TOO_LARGE, CANCELLED }
 
 val EMPTY_BODY: ByteArray = ByteArray(0)
 
--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.handler.timeout.IdleStateEvent
 import io.netty.util.ReferenceCountUtil
+import wigeonreel.kernel.Log
+import java.io.IOException
 import io.netty.handler.codec.http.HttpMessage as NettyHttpMessage
 
 /** Aggregates requests with a body of at most [maxBodyBytes] and answers larger ones as [HttpFault.BODY_TOO_LARGE]. */
@@ -57,6 +59,7 @@
 
     @Deprecated("Netty's signature")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) log.error("connection closed, requestOpen=${current != null}, after an unexpected error; report this", cause)
         ctx.close()
     }
 
@@ -110,6 +113,7 @@
 
     private companion object {
         const val MAX_PIPELINED = 16
+        val log = Log("http")
     }
 }
 
--- a/kernel/src/main/kotlin/wigeonreel/kernel/Log.kt
+++ b/kernel/src/main/kotlin/wigeonreel/kernel/Log.kt
@@ -1,6 +1,7 @@
 package wigeonreel.kernel
 
 import org.tinylog.kotlin.Logger
+import org.tinylog.provider.ProviderRegistry
 
 /**
  * Log of one part of a process; in text form, every line starts with the name of the part.
@@ -37,5 +38,17 @@
         /** System property; `true` formats all lines as JSON objects. */
         const val STRUCTURED_PROPERTY: String = "wigeonreel.log.structured"
         private val STRUCTURED by lazy { System.getProperty(STRUCTURED_PROPERTY) == "true" }
+
+        /**
+         * Keeps the log open while shutdown hooks run; otherwise its own hook closes it before the lines of a graceful shutdown.
+         *
+         * Must be called before the first line; the program then calls [close] after its last line.
+         */
+        fun keepOpenDuringShutdown() {
+            System.setProperty("tinylog.autoshutdown", "false")
+        }
+
+        /** Writes the queued lines and closes the log. */
+        fun close() = ProviderRegistry.getLoggingProvider().shutdown()
     }
 }
