Refuse requests late in the grace period that may outlast the process

Cause: a stopping daemon accepted every request until nothing was open. Callers that go on using it kept something open, so it stopped at the end of the grace period and cut what it had accepted last.

MeshLeaveTest 'a request accepted late in the shutdown is cut when the daemon ends' failed before.

In the second half of the grace period, and no later than 3 s after SIGTERM, the entry and the guard refuse a request that may last longer than the process, while it is true that it was not run; Retry-After is the rest of the grace period. What was accepted before has at least half of the grace period.

--- a/core/src/main/kotlin/wigeonreel/drain/ShutdownStage.kt
+++ b/core/src/main/kotlin/wigeonreel/drain/ShutdownStage.kt
@@ -24,6 +24,22 @@
 /** Time before the end of the grace period at which the process exits by itself, in milliseconds. */
 const val GRACE_MARGIN_MS: Long = 300
 
+/** Maximum time after the request to stop at which requests are accepted whatever their timeouts, in milliseconds. */
+private const val MAX_LATE_ACCEPTANCE_MS = 3_000L
+
+/** Maximum share of the grace period in which requests are accepted whatever their timeouts. */
+private const val MAX_LATE_ACCEPTANCE_SHARE = 0.5
+
+/**
+ * Returns whether a daemon that was asked to stop [sinceMs] milliseconds ago accepts a request that may last [timeoutMs] milliseconds.
+ *
+ * Load pattern: callers that ignore the readiness of the daemon keep sending requests until its process has ended. A request that
+ * may outlast the process is refused while it is still true that it was not run.
+ */
+fun acceptsWhileStopping(sinceMs: Long, timeoutMs: Long, graceMs: Long): Boolean =
+    sinceMs <= minOf(MAX_LATE_ACCEPTANCE_MS, (graceMs * MAX_LATE_ACCEPTANCE_SHARE).toLong()) ||
+        sinceMs + timeoutMs <= graceMs - GRACE_MARGIN_MS
+
 /**
  * Returns the shutdown stage of a daemon that was asked to stop [sinceMs] milliseconds ago and has [open] requests.
  *
--- a/core/src/test/kotlin/wigeonreel/drain/ShutdownStageTest.kt
+++ b/core/src/test/kotlin/wigeonreel/drain/ShutdownStageTest.kt
@@ -28,4 +28,28 @@
         ).map { case ->
             DynamicTest.dynamicTest(case.name) { expectThat(shutdownStage(case.sinceMs, case.open, case.graceMs)).isEqualTo(case.expected) }
         }
+
+    private class Arrival(
+        val name: String,
+        val sinceMs: Long,
+        val timeoutMs: Long,
+        val expected: Boolean,
+        val graceMs: Long = 6_000,
+    )
+
+    @TestFactory
+    fun `requests that may outlast the process are accepted in the first half of the grace period only`() =
+        listOf(
+            Arrival("shutdown requested", 0, 60_000, expected = true),
+            Arrival("first half of the grace period", 3_000, 60_000, expected = true),
+            Arrival("second half, the request may outlast the process", 3_100, 5_000, expected = false),
+            Arrival("second half, the request ends before the process", 3_100, 2_000, expected = true),
+            Arrival("just before the end", 5_600, 700, expected = false),
+            Arrival("long grace period, the server may still be at work at its end", 4_000, 12_000, expected = false, graceMs = 10_000),
+            Arrival("short grace period", 600, 1_000, expected = false, graceMs = 1_000),
+        ).map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                expectThat(acceptsWhileStopping(case.sinceMs, case.timeoutMs, case.graceMs)).isEqualTo(case.expected)
+            }
+        }
 }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -62,7 +62,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val log = kernel.register(EventLog())
     private val events = MeshEvents(log, registry, clock)
-    private val state = MeshState()
+    private val state = MeshState(settings.graceMs)
     private val router = Router(Random(incarnation))
     private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
     private val backendConnector = HttpConnector(traffic, settings.http.copy(maxBodyBytes = settings.maxAnswerBytes))
@@ -114,7 +114,7 @@
      */
     fun leaveAndStop() {
         val startedNs = System.nanoTime()
-        traffic.execute { state.leaving = true }
+        traffic.execute { state.stopRequestedAtMs = clock.nowMs() }
         events.changed("stop", "leaving")
         awaitStage(startedNs, ShutdownStage.PEERS_NOTIFIED)
         control.execute { fleet.leave(MemberState.LEAVING) }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -48,7 +48,11 @@
     }
 
     private fun process(exchange: HttpExchange, request: CallerRequest, nowMs: Long) =
-        validate(request, nowMs).fold({ refuse(exchange, request, it) }, { admit(exchange, it) })
+        validate(request, nowMs).fold({ refuse(exchange, request, it, retryAfterMs(it, nowMs)) }, { admit(exchange, it) })
+
+    /** A caller that knows no other daemon can retry once this one has been restarted. */
+    private fun retryAfterMs(refusal: Refusal, nowMs: Long): Int =
+        if (refusal == Refusal.DRAINING) state.remainingGraceMs(nowMs).toInt() else refusal.retryAfterMs
 
     private fun admit(exchange: HttpExchange, call: MeshCall) {
         val account = call.account ?: return sendBackendCall(exchange, call)
@@ -67,11 +71,11 @@
     private fun validate(request: CallerRequest, nowMs: Long): Either<Refusal, MeshCall> =
         either {
             val view = ensureNotNull(state.view) { Refusal.ISOLATED }
-            ensure(!state.closing) { Refusal.DRAINING }
             ensure(request.key == null || !state.isolated(nowMs)) { Refusal.ISOLATED }
             val route = ensureNotNull(view.configuration.routes.find(request.host, request.http.path)) { Refusal.ROUTE_UNKNOWN }
             val account = accountOf(request, route, view.configuration).bind()
             val timeoutMs = minOf(request.timeoutMs ?: route.timeoutMs, route.timeoutMs)
+            ensure(state.accepts(timeoutMs, nowMs)) { Refusal.DRAINING }
             val headers = protocol.headersFor(request, account)
             MeshCall(request, route, split.next(route), account, headers, account == null, nowMs, nowMs + timeoutMs)
         }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -101,7 +101,7 @@
         private var lostReason: LostReason? = null
 
         fun admit() {
-            if (state.closing) return refuse(Refusal.DRAINING, 0)
+            if (!state.accepts(request.timeoutMs.toLong(), arrivedAtMs)) return refuse(Refusal.DRAINING, 0)
             if (!state.backendReady(arrivedAtMs) || state.backend.current?.service != request.service) return refuse(Refusal.NO_SERVER, 0)
             if (!feedback.admits(urgent = request.depth == 0 && request.priority == 0, arrivedAtMs)) {
                 return refuse(Refusal.OVERLOADED, DOWNSTREAM_FULL_RETRY_AFTER_MS)
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -1,10 +1,17 @@
 package wigeonreel.mesh
 
 import wigeonreel.backend.BackendTracker
+import wigeonreel.drain.acceptsWhileStopping
 import wigeonreel.traffic.FleetView
 
-/** State shared by the services of the traffic event loop; accessed only from that loop's thread. */
-class MeshState {
+/**
+ * State shared by the services of the traffic event loop; accessed only from that loop's thread.
+ *
+ * @param graceMs grace period between the request to stop and the end of the process, in milliseconds.
+ */
+class MeshState(
+    private val graceMs: Long,
+) {
     /** Current fleet and configuration, or null until both are known. */
     var view: FleetView? = null
 
@@ -28,8 +35,11 @@
      */
     var departureReadDeadlineMs: Long = 0
 
+    /** Time at which this daemon was asked to stop, in milliseconds, or null. */
+    var stopRequestedAtMs: Long? = null
+
     /** Whether this daemon was asked to stop. */
-    var leaving = false
+    val leaving: Boolean get() = stopRequestedAtMs != null
 
     /** Whether this daemon accepts no more requests because its process is about to end. */
     var closing = false
@@ -43,6 +53,13 @@
     /** Returns whether the backend server accepts new requests. */
     fun backendReady(nowMs: Long): Boolean = backend.ready && nowMs >= maxOf(backendDownUntilMs, departureReadDeadlineMs)
 
+    /** Returns whether a request that may last [timeoutMs] milliseconds is accepted. */
+    fun accepts(timeoutMs: Long, nowMs: Long): Boolean =
+        !closing && (stopRequestedAtMs?.let { acceptsWhileStopping(nowMs - it, timeoutMs, graceMs) } ?: true)
+
+    /** Returns the time until the process of a stopping daemon has ended, in milliseconds. */
+    fun remainingGraceMs(nowMs: Long): Long = stopRequestedAtMs?.let { (it + graceMs - nowMs).coerceAtLeast(0) } ?: 0
+
     /** Returns whether callers may send new requests to this daemon. */
     fun ready(nowMs: Long): Boolean = view != null && !leaving && !isolated(nowMs)
 
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
@@ -10,7 +10,9 @@
 import wigeonreel.http.HttpRequest
 import wigeonreel.http.HttpResult
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 /** Tests the graceful shutdown of daemons and servers while callers keep sending requests. */
@@ -77,6 +79,31 @@
         expectThat(lost.filter { it in forwarded }).isEmpty()
     }
 
+    /** Callers that ignore the readiness kept a request open at all times, and the last ones were cut at the end of the grace period. */
+    @Test
+    fun `a request accepted late in the shutdown is cut when the daemon ends`() {
+        configure()
+        val atWork = AtomicInteger()
+        listOf(back, spare).forEach { vm ->
+            vm.server.behaviour = { exchange ->
+                atWork.incrementAndGet()
+                thread {
+                    Thread.sleep(900)
+                    atWork.decrementAndGet()
+                    exchange.respond(FakeServer.signed(exchange.request, 200, "done"))
+                }
+            }
+        }
+        val stopped = thread { front.daemon.leaveAndStop() }
+        val answers = ConcurrentLinkedQueue<HttpResult>()
+        while (stopped.isAlive) {
+            fleet.callAsync(front.callers, request("/book/more")) { answers += it }
+            Thread.sleep(50)
+        }
+        expectThat(atWork.get()).isEqualTo(0)
+        expectThat(answers.filterIsInstance<HttpResult.Answer>().map { it.response.status }.toSet()).isEqualTo(setOf(200, 503))
+    }
+
     @Test
     fun `a draining server receives no requests after its daemon has acknowledged the deregistration`() {
         configure()
