End the streams of peers when a daemon stops, so that it does not outlive the grace period

Cause: PeerEndpoint.stop waited for the streams of other daemons, which never end by themselves, so each stop took 0.5 s more; with a request open to the end of the grace period the process needed 6.4 s of 6 s.

PeerEndpointTest 'an endpoint that stops leaves its peers waiting for replies on open streams' timed out before. The daemon now ends the streams after the last reply and then waits for 0.1 s at most.

--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -44,7 +44,11 @@
     fun offerConfig(delta: ConfigDelta, onReceipt: (ConfigReceipt) -> Unit)
 }
 
-/** gRPC server for calls from other daemons. */
+/**
+ * gRPC server for calls from other daemons.
+ *
+ * @param loop event loop with a single thread, on which all calls are handled.
+ */
 class PeerEndpoint(
     private val loop: EventLoopGroup,
     private val address: InetSocketAddress,
@@ -53,6 +57,7 @@
 ) : Service {
     override val name = "peer-endpoint"
     private var server: Server? = null
+    private val calls = PeerCalls(handler)
 
     override fun start() {
         server =
@@ -64,26 +69,35 @@
                 .directExecutor()
                 .maxInboundMessageSize(maxMessageBytes)
                 .flowControlWindow(FLOW_WINDOW_BYTES)
-                .addService(PeerCalls(handler))
+                .addService(calls)
                 .build()
                 .start()
     }
 
+    /** Ends the streams of other daemons, which would keep the server from terminating; replies written before are still sent. */
     override fun stop() {
-        server?.shutdown()?.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        val stopping = server?.shutdown() ?: return
+        loop.submit { calls.endExchanges() }.sync()
+        if (!stopping.awaitTermination(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) stopping.shutdownNow()
     }
 
     private companion object {
         const val FLOW_WINDOW_BYTES = 8 * 1024 * 1024
-        const val STOP_TIMEOUT_MS = 500L
+        /** Maximum time for sending the last replies. */
+        const val STOP_TIMEOUT_MS = 100L
     }
 }
 
 private class PeerCalls(
     private val handler: PeerHandler,
 ) : PeerGrpc.PeerImplBase() {
+    private val exchanges = LinkedHashSet<ForwardExchange>()
+
     override fun exchange(responses: StreamObserver<ForwardReply>): StreamObserver<RequestFrame> =
-        ForwardExchange(handler, responses as ServerCallStreamObserver<ForwardReply>)
+        ForwardExchange(handler, responses as ServerCallStreamObserver<ForwardReply>) { exchanges -= it }.also { exchanges += it }
+
+    /** Ends all open streams. */
+    fun endExchanges() = exchanges.toList().forEach { it.onCompleted() }
 
     override fun block(request: BlockRequest, responses: StreamObserver<BlockReply>) = complete(responses, handler.block(request))
 
@@ -105,6 +119,7 @@
 private class ForwardExchange(
     private val handler: PeerHandler,
     private val responses: ServerCallStreamObserver<ForwardReply>,
+    private val onEnd: (ForwardExchange) -> Unit,
 ) : StreamObserver<RequestFrame> {
     private val running = HashMap<String, () -> Unit>()
     private var open = true
@@ -126,6 +141,7 @@
     override fun onError(cause: Throwable) = end()
 
     override fun onCompleted() {
+        if (!open) return
         end()
         responses.onCompleted()
     }
@@ -154,6 +170,7 @@
 
     private fun end() {
         open = false
+        onEnd(this)
         val unfinished = running.values.toList()
         running.clear()
         unfinished.forEach { it() }
