Count a request as open until its response is written

Cause: MeshState.inFlight was raised when a request was sent to a guard and lowered when its response was handed to the connection. A request that waited for tokens of its account and a response that was not written yet were not counted, so the daemon stopped while they existed; the same for a request on a server that had been replaced.

Evidence: MeshLeaveTest 'a response that its caller reads slowly is cut when the daemon ends' failed before; the daemon had ended within 4 s with 11 MB unread.

The listener counts a request from its arrival until its response's last byte is handed to the socket or its connection is closed; the guard counts all requests that it holds.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -75,6 +75,7 @@
     private val quota = kernel.register(MeshQuota(traffic, settings.id, state, peers, clock, ::onUnreachable))
     private val entry =
         kernel.register(MeshEntry(state, platform.callers, quota, sender, guard, events, clock))
+    private val callerListener = listener("caller-listener", settings.callers, entry)
     private val table = platform.connectTable(control)
     private val departures = DepartureRecord(control, table, settings.id)
     private val fleet =
@@ -87,7 +88,7 @@
     init {
         val limit = settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES
         kernel.register(PeerEndpoint(traffic, InetSocketAddress(settings.peers.host, settings.peers.port), limit, PeerCalls()))
-        listen("caller-listener", settings.callers, entry)
+        kernel.register(callerListener)
         listen("control-listener", settings.control, reports(Reports()))
         listen("readiness-listener", settings.readiness, PageHandler { readiness() })
         listen("metrics-listener", settings.metrics, PageHandler { textResponse(OK, registry.scrape()) })
@@ -128,8 +129,8 @@
     /** Logs that the settings were reloaded. */
     fun onSettingsChanged(detail: String) = events.changed("reload", detail)
 
-    /** Returns the number of requests that are in flight here or queued for the local backend server. */
-    private fun openRequests(): Int = traffic.submit<Int> { state.inFlight + guard.waiting }.get()
+    /** Returns the number of callers' requests whose response is not written yet and of requests for the local backend server. */
+    private fun openRequests(): Int = traffic.submit<Int> { callerListener.openRequests + guard.openRequests }.get()
 
     private fun awaitStage(startedNs: Long, stage: ShutdownStage) {
         while (shutdownStage(sinceMs(startedNs), openRequests(), settings.graceMs) < stage) Thread.sleep(STOP_POLL_MS)
@@ -182,8 +183,10 @@
 
     private fun self() = Member.starting(settings.id, incarnation, PeerAddress(settings.peers.host, settings.peers.port), settings.place)
 
-    private fun listen(name: String, address: HttpAddress, handler: HttpHandler) =
-        kernel.register(HttpListener(name, traffic, address.host, address.port, settings.http, handler))
+    private fun listen(name: String, address: HttpAddress, handler: HttpHandler) = kernel.register(listener(name, address, handler))
+
+    private fun listener(name: String, address: HttpAddress, handler: HttpHandler) =
+        HttpListener(name, traffic, address.host, address.port, settings.http, handler)
 
     private fun gauge(name: String, value: () -> Number) = Gauge.builder(name, value).register(registry)
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -109,15 +109,12 @@
     }
 
     private fun send(exchange: HttpExchange, call: MeshCall, onDone: (MeshResult, CallUsage) -> Unit) {
-        state.inFlight++
         val cancel =
             sender.send(call) { result, usage ->
-                state.inFlight--
                 onDone(result, usage)
                 answer(exchange, call, result)
             }
         exchange.onAbort {
-            state.inFlight--
             events.callerLeft(call, clock.nowMs())
             cancel()
         }
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -57,6 +57,9 @@
     /** Number of requests queued for the server. */
     val waiting: Int get() = currentQueue.waitingCount
 
+    /** Number of requests that are queued or run, also on a server that was replaced. */
+    val openRequests: Int get() = requests.size
+
     /** Applies the slots that [server] reports. If [isNew], starts a new queue and refuses the requests queued for the previous server. */
     fun onBackendReport(server: BackendReport, isNew: Boolean) {
         if (!isNew) return currentQueue.updateSlots(server.slots)
@@ -146,7 +149,6 @@
             if (server == null || queue !== currentQueue || leftMs <= 0) {
                 return complete(null) { refusalReply(request, if (leftMs <= 0) Refusal.DEADLINE_PASSED else Refusal.NO_SERVER) }
             }
-            state.inFlight++
             startedNs = System.nanoTime()
             attribution.onStarted(this, deadlineMs, request.representedRequests.toDouble().coerceAtLeast(1.0), request.isRetry, nowMs)
             val message = HttpRequest(request.method, request.uri, request.headersList.toHttp(), request.body.toByteArray())
@@ -155,10 +157,7 @@
                 SendOptions(maxIdleMs, CONNECT_TIMEOUT_MS, acceptsCloseDelimited = true) { protocol.matchesAttempt(request.rootId, it) }
             val outgoing = protocol.request(message, server.instance, leftMs)
             running =
-                connector.send(HttpAddress(server.host, server.port), outgoing, leftMs + ANSWER_MARGIN_MS, options) { result ->
-                    state.inFlight--
-                    onResult(result)
-                }
+                connector.send(HttpAddress(server.host, server.port), outgoing, leftMs + ANSWER_MARGIN_MS, options) { onResult(it) }
         }
 
         private fun onResult(result: HttpResult) =
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -44,9 +44,6 @@
     /** Whether this daemon accepts no more requests because its process is about to end. */
     var closing = false
 
-    /** Accepted requests without a response yet, and forwarded requests that run on the local backend server. */
-    var inFlight: Int = 0
-
     /** Returns whether keys can't be checked because there was no contact with the store or a peer for [ISOLATED_AFTER_MS]. */
     fun isolated(nowMs: Long): Boolean = nowMs - lastContactAtMs > ISOLATED_AFTER_MS
 
--- a/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
@@ -23,6 +23,10 @@
     private val handler: HttpHandler,
 ) : Service {
     private var channel: Channel? = null
+    private val open = OpenRequests()
+
+    /** Number of requests whose response is not yet written completely; must be read on the thread of [loop]. */
+    val openRequests: Int get() = open.count
 
     override fun start() {
         val bootstrap =
@@ -48,7 +52,7 @@
                     HttpRequestDecoder(limits.maxRequestLineBytes, limits.maxHeaderBytes, CHUNK_BYTES),
                     HttpResponseEncoder(),
                     RequestAggregator(limits.maxBodyBytes, handler),
-                    ServerConnection(handler),
+                    ServerConnection(handler, open),
                 )
             }
         }
--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -29,9 +29,24 @@
     }
 }
 
+/** Number of requests of all connections of one listener that are handled or whose response is being written. */
+internal class OpenRequests {
+    var count = 0
+        private set
+
+    fun onStart() {
+        count++
+    }
+
+    fun onEnd() {
+        count--
+    }
+}
+
 /** Handles one connection from a caller; pipelined requests are queued until the earlier ones are answered. */
 internal class ServerConnection(
     private val handler: HttpHandler,
+    private val open: OpenRequests,
 ) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
     private val queued = ArrayDeque<FullHttpRequest>()
     private var current: Exchange? = null
@@ -70,6 +85,7 @@
         val fault = faultOf(message)
         message.release()
         current = exchange
+        open.onStart()
         if (fault == null) handler.handle(exchange) else exchange.respond(handler.reject(fault), close = true)
     }
 
@@ -94,7 +110,7 @@
             if (answered) return
             answered = true
             val last = close || !keepAlive
-            val written = ctx.writeAndFlush(toNetty(response, last))
+            val written = ctx.writeAndFlush(toNetty(response, last)).addListener { open.onEnd() }
             if (last) written.addListener(ChannelFutureListener.CLOSE)
             current = null
             if (!last) startNext(ctx)
@@ -107,6 +123,7 @@
         fun abort() {
             if (answered) return
             answered = true
+            open.onEnd()
             onAbort()
         }
     }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -105,8 +105,8 @@
                 readiness = readiness,
                 peers = HttpAddress("127.0.0.1", freePort()),
                 metrics = metrics,
-                http = HttpLimits(),
-                maxAnswerBytes = 1_000_000,
+                http = HttpLimits(maxBodyBytes = 16_000_000),
+                maxAnswerBytes = 12_000_000,
                 graceMs = 6_000,
                 retryRatio = 0.2,
             )
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
@@ -6,9 +6,11 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import wigeonreel.http.HttpHeader
 import wigeonreel.http.HttpRequest
 import wigeonreel.http.HttpResult
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
@@ -104,6 +106,24 @@
         expectThat(answers.filterIsInstance<HttpResult.Answer>().map { it.response.status }.toSet()).isEqualTo(setOf(200, 503))
     }
 
+    /** The response was handed to the connection, so its request no longer counted as open, and the process ended before it was sent. */
+    @Test
+    fun `a response that its caller reads slowly is cut when the daemon ends`() {
+        configure()
+        val text = "x".repeat(11_000_000)
+        listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(FakeServer.signed(it.request, 200, text)) } }
+        Socket(front.callers.host, front.callers.port).use { socket ->
+            socket.getOutputStream().write("POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n".encodeToByteArray())
+            expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
+            val stopped = thread { front.daemon.leaveAndStop() }
+            // Without an open request the daemon ends after 2.5 s.
+            stopped.join(4_000)
+            expectThat(stopped.isAlive).isTrue()
+            expectThat(socket.getInputStream().readAllBytes().count { it == 'x'.code.toByte() }).isEqualTo(text.length)
+            stopped.join()
+        }
+    }
+
     @Test
     fun `a draining server receives no requests after its daemon has acknowledged the deregistration`() {
         configure()
