Handle no request behind a connection's last response

A caller that sent its next request before it had read a response with Connection: close could lose it: the request was passed on to a server, and its connection was closed when the earlier response was written.

Cause: ServerConnection took up the next request as soon as a response was handed to the connection, although the connection is closed after the last one. It shows where that response is read slowly, as during a shutdown, whose responses all close.

Such requests are now dropped unread, so their callers know that they were not run.

--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -51,7 +51,14 @@
     private val queued = ArrayDeque<FullHttpRequest>()
     private var current: Exchange? = null
 
+    /** Whether the last response is being written; the connection is closed after it. */
+    private var closing = false
+
     override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpRequest) {
+        if (closing) {
+            message.release()
+            return
+        }
         if (queued.size >= MAX_PIPELINED) {
             message.release()
             ctx.close()
@@ -110,6 +117,7 @@
             if (answered) return
             answered = true
             val last = close || !keepAlive
+            closing = last
             val written = ctx.writeAndFlush(toNetty(response, last)).addListener { open.onEnd() }
             if (last) written.addListener(ChannelFutureListener.CLOSE)
             current = null
