Answer a request whose handler fails

An unexpected error in a handler closed the caller's connection without an answer; the request may have been passed on by then.

Evidence: ServerConnectionTest 'a failing handler closes the connection without an answer' failed before, with no byte received. The caller now gets the refusal for an unknown outcome, and the error is logged with its cause.

--- a/daemon/src/main/kotlin/wigeonreel/traffic/Refusals.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/Refusals.kt
@@ -40,4 +40,5 @@
             HttpFault.MALFORMED -> Refusal.MALFORMED_REQUEST
             HttpFault.HEADERS_TOO_LARGE -> Refusal.HEADERS_TOO_LARGE
             HttpFault.BODY_TOO_LARGE -> Refusal.BODY_TOO_LARGE
+            HttpFault.INTERNAL_ERROR -> Refusal.ANSWER_LOST
         }
--- a/http/src/main/kotlin/wigeonreel/http/HttpExchange.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpExchange.kt
@@ -16,9 +16,16 @@
     /** Handles a request; the response may be sent after this function returns. */
     fun handle(exchange: HttpExchange)
 
-    /** Returns the response to bytes that are not an acceptable request. */
+    /** Returns the response for [fault]. */
     fun reject(fault: HttpFault): HttpResponse
 }
 
-/** Reasons for which received bytes are not an acceptable request. */
-enum class HttpFault { MALFORMED, HEADERS_TOO_LARGE, BODY_TOO_LARGE }
+/** Reasons for which a request gets a response that its handler has not chosen. */
+enum class HttpFault {
+    MALFORMED,
+    HEADERS_TOO_LARGE,
+    BODY_TOO_LARGE,
+
+    /** The handler failed; whether the request was run is unknown. */
+    INTERNAL_ERROR,
+}
--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -81,8 +81,14 @@
 
     @Deprecated("Netty's signature")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        if (cause !is IOException) log.error("connection closed, requestOpen=${current != null}, after an unexpected error; report this", cause)
-        ctx.close()
+        val open = current
+        if (cause is IOException || open == null) {
+            if (cause !is IOException) log.error("connection closed after an unexpected error; report this", cause)
+            ctx.close()
+            return
+        }
+        log.error("request ended by an unexpected error; report this", cause)
+        open.respond(handler.reject(HttpFault.INTERNAL_ERROR), close = true)
     }
 
     private fun startNext(ctx: ChannelHandlerContext) {
--- a/http/src/test/kotlin/wigeonreel/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/ServerConnectionTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import java.net.InetAddress
@@ -18,6 +19,7 @@
     private val handler =
         object : HttpHandler {
             override fun handle(exchange: HttpExchange) {
+                check(exchange.request.path != "/fails") { "the handler fails" }
                 exchanges += exchange
             }
 
@@ -49,6 +51,16 @@
         }
     }
 
+    @Test
+    fun `a failing handler closes the connection without an answer`() {
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 10_000
+            socket.send("GET /fails HTTP/1.1\r\nHost: h\r\n\r\n")
+            val answer = socket.getInputStream().readAllBytes().decodeToString()
+            expectThat(answer).contains("HTTP/1.1 502").contains(HttpFault.INTERNAL_ERROR.name)
+        }
+    }
+
     @Test
     fun `a request that ends within its head is handled`() {
         val head = "GET /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
