Report a response that is cut in order as closed, not as reset; test cuts at every byte

Netty's decoder marks a message that ends within its head as failed, and ClientConnection, which reads servers and the store, fails the call.

--- a/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import java.io.IOException
 
 /** Handles the responses received on one connection to a server. */
 internal class ClientConnection(
@@ -60,7 +61,12 @@
 
     @Deprecated("Netty's signature")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        val reason = if (cause is TooLongFrameException) LostReason.TOO_LARGE else LostReason.RESET
+        val reason =
+            when (cause) {
+                is TooLongFrameException -> LostReason.TOO_LARGE
+                is IOException -> LostReason.RESET
+                else -> LostReason.CLOSED
+            }
         ctx
             .channel()
             .attr(CALL)
--- a/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
@@ -81,6 +81,29 @@
             }
         }
 
+    private class Cut(
+        val name: String,
+        val response: String,
+        /** Number of bytes from which on an end of the connection completes the response. */
+        val completeFrom: Int = response.length,
+    )
+
+    @TestFactory
+    fun `a response that ends within its head or body is returned as complete`() =
+        listOf(
+            Cut("with a length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody"),
+            Cut("with a length, no body", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n"),
+            Cut("in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nT: t\r\n\r\n"),
+            "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\n".let { head -> Cut("close-delimited", head + "body", head.length) },
+        ).flatMap { cut -> (1 until cut.response.length).map { length -> cut to length } }
+            .flatMap { (cut, length) -> listOf(false, true).map { reset -> Triple(cut, length, reset) } }
+            .map { (cut, length, reset) ->
+                DynamicTest.dynamicTest("${cut.name}, ${if (reset) "reset" else "closed"} after $length bytes") {
+                    val result = sendTo(cut.response.take(length), SendOptions(acceptsCloseDelimited = true), reset)
+                    if (reset || length < cut.completeFrom) expectThat(result).isA<HttpResult.Lost>() else expectThat(result).isA<HttpResult.Answer>()
+                }
+            }
+
     @Test
     fun `a close-delimited response is complete when its connection is closed, but not when it is reset`() {
         val reply = "HTTP/1.1 200 OK\r\n\r\nwhole"
