Take no refusal without an id as this request's on a connection that had carried another

A caller could be told 'not run, try again' for a request that its server ran, or the request ran on a second server too, when a server wrote the refusal of an earlier request once more on a kept connection.

Cause: an error response without the attempt's id counted as the answer to the request in progress. Such a refusal now counts only as the first response on its connection; later it ends the attempt with an unknown outcome. Responses that echo another id were dropped before and still are. The product's own interface has no id, so a server there echoes Wigeon-Context in a refusal.

The stand-in of 'a request that a server turns away unrun' now echoes the id, as the platform's servers do.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/CallerProtocol.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/CallerProtocol.kt
@@ -5,6 +5,7 @@
 import wigeonreel.http.HttpHeader
 import wigeonreel.http.HttpRequest
 import wigeonreel.http.HttpResponse
+import wigeonreel.http.ResponseMatch
 import wigeonreel.outcome.Refusal
 
 /**
@@ -57,8 +58,12 @@
     /** Returns [request] in the form sent to the server [instance], which must respond within [leftMs] milliseconds. */
     fun request(request: HttpRequest, instance: String, leftMs: Long): HttpRequest
 
-    /** Returns whether [response] belongs to the attempt [id]; a server may send a response twice or late. */
-    fun matchesAttempt(id: String, response: HttpResponse): Boolean
+    /**
+     * Returns the relation of [response] to the attempt [id]; a server may send a response twice or late.
+     *
+     * @param reused whether the connection had carried another request.
+     */
+    fun match(id: String, response: HttpResponse, reused: Boolean): ResponseMatch
 
     /** Returns what [response] means for its request. */
     fun verdict(response: HttpResponse): ServerVerdict
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -154,7 +154,9 @@
             val message = HttpRequest(request.method, request.uri, request.headersList.toHttp(), request.body.toByteArray())
             val maxIdleMs = if (request.atMostOnce) MAX_IDLE_AT_MOST_ONCE_MS else Long.MAX_VALUE
             val options =
-                SendOptions(maxIdleMs, CONNECT_TIMEOUT_MS, acceptsCloseDelimited = true) { protocol.matchesAttempt(request.rootId, it) }
+                SendOptions(maxIdleMs, CONNECT_TIMEOUT_MS, acceptsCloseDelimited = true) { response, reused ->
+                    protocol.match(request.rootId, response, reused)
+                }
             val outgoing = protocol.request(message, server.instance, leftMs)
             running =
                 connector.send(HttpAddress(server.host, server.port), outgoing, leftMs + ANSWER_MARGIN_MS, options) { onResult(it) }
--- a/daemon/src/main/kotlin/wigeonreel/traffic/GuardService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/traffic/GuardService.kt
@@ -14,6 +14,8 @@
 import wigeonreel.http.HttpResponse
 import wigeonreel.http.HttpResult
 import wigeonreel.http.LostReason
+import wigeonreel.http.ResponseMatch
+import wigeonreel.http.SendOptions
 import wigeonreel.kernel.Log
 import wigeonreel.kernel.Service
 import wigeonreel.outcome.Refusal
@@ -101,7 +103,7 @@
         val token = contexts.open(context)
         val startedNs = System.nanoTime()
         val running: Cancellable =
-            connector.send(server.address, toServer(request, token), request.timeoutMs.toLong()) { result ->
+            connector.send(server.address, toServer(request, token), request.timeoutMs.toLong(), optionsFor(token)) { result ->
                 state.inFlight--
                 contexts.close(token)
                 onReply(toReply(request, result, threshold, startedNs).withContext(context).withLoad().build())
@@ -109,6 +111,15 @@
         return { running.cancel() }
     }
 
+    /** On a connection that had carried another request, shedding counts only with the context of this one. */
+    private fun optionsFor(token: String) =
+        SendOptions { response, reused ->
+            val attributed = !reused || response.header(HeaderNames.CONTEXT) == token
+            if (response.isShed && !attributed) ResponseMatch.AMBIGUOUS else ResponseMatch.OWN
+        }
+
+    private val HttpResponse.isShed get() = status == SERVICE_UNAVAILABLE && header(HeaderNames.SHED) != null
+
     private fun toReply(request: ForwardRequest, result: HttpResult, threshold: AdmissionThreshold, startedNs: Long): ForwardReply.Builder =
         when (result) {
             is HttpResult.Answer -> onAnswer(request, result.response, threshold, startedNs)
@@ -125,7 +136,7 @@
         threshold: AdmissionThreshold,
         startedNs: Long,
     ): ForwardReply.Builder {
-        if (response.status == SERVICE_UNAVAILABLE && response.header(HeaderNames.SHED) != null) {
+        if (response.isShed) {
             guard.onShed()
             return refusalReply(request, Refusal.OVERLOADED, threshold)
         }
--- a/http/src/main/kotlin/wigeonreel/http/ClientCall.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ClientCall.kt
@@ -31,18 +31,21 @@
 
     private var channel: Channel? = null
     private var timer: ScheduledFuture<*>? = null
+    private var reused = false
     private var done = false
 
     fun startTimer(loop: EventLoop, timeoutMs: Long) {
         timer = loop.schedule({ fail(LostReason.TIMED_OUT) }, timeoutMs, TimeUnit.MILLISECONDS)
     }
 
-    fun sendOn(channel: Channel) {
+    /** Sends the request on [channel], which had carried another request if [reused]. */
+    fun sendOn(channel: Channel, reused: Boolean) {
         if (done) {
             channel.close()
             return
         }
         this.channel = channel
+        this.reused = reused
         channel.attr(CALL).set(this)
         channel.writeAndFlush(toNetty())
     }
@@ -51,11 +54,11 @@
 
     val isHead: Boolean get() = request.method == HttpMethod.HEAD.name()
 
-    /** Returns whether [response] is the final response to this call; counts any other response as dropped. */
-    fun accepts(response: HttpResponse): Boolean {
-        val accepted = response.status >= FIRST_FINAL_STATUS && options.belongs(response)
-        if (!accepted) droppedResponses++
-        return accepted
+    /** Returns whether [response] is the final response to this call; interim responses are foreign, and foreign ones are counted. */
+    fun match(response: HttpResponse): ResponseMatch {
+        val match = if (response.status < FIRST_FINAL_STATUS) ResponseMatch.FOREIGN else options.match(response, reused)
+        if (match == ResponseMatch.FOREIGN) droppedResponses++
+        return match
     }
 
     fun failUnsent(cause: Throwable) = complete(HttpResult.NotSent(cause.javaClass.simpleName))
--- a/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ClientConnection.kt
@@ -14,13 +14,16 @@
 ) : SimpleChannelInboundHandler<FullHttpResponse>() {
     override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpResponse) {
         val call = ctx.channel().attr(CALL).get()
-        if (call == null || !message.decoderResult().isSuccess) {
-            call?.fail(LostReason.TRUNCATED)
-            ctx.close()
-            return
-        }
+        if (call == null || !message.decoderResult().isSuccess) return onBroken(ctx, call)
         val response = message.toResponse()
-        if (!call.accepts(response)) return onDropped(ctx, call, response)
+        when (call.match(response)) {
+            ResponseMatch.OWN -> onOwnResponse(ctx, call, message, response)
+            ResponseMatch.FOREIGN -> onDropped(ctx, call, response)
+            ResponseMatch.AMBIGUOUS -> onBroken(ctx, call)
+        }
+    }
+
+    private fun onOwnResponse(ctx: ChannelHandlerContext, call: ClientCall, message: FullHttpResponse, response: HttpResponse) {
         ctx.channel().attr(CALL).set(null)
         val reusable = HttpUtil.isKeepAlive(message) && !call.hasDroppedResponses && !decoder.hasLeftover
         if (reusable) connector.release(call.address, ctx.channel(), keepAliveMs(response)) else ctx.close()
@@ -29,8 +32,11 @@
 
     /** Fails the call if too many responses were dropped, or after 101, since the bytes that follow it are not HTTP. */
     private fun onDropped(ctx: ChannelHandlerContext, call: ClientCall, response: HttpResponse) {
-        if (!call.exceedsDroppedLimit && response.status != SWITCHING_PROTOCOLS) return
-        call.fail(LostReason.TRUNCATED)
+        if (call.exceedsDroppedLimit || response.status == SWITCHING_PROTOCOLS) onBroken(ctx, call)
+    }
+
+    private fun onBroken(ctx: ChannelHandlerContext, call: ClientCall?) {
+        call?.fail(LostReason.TRUNCATED)
         ctx.close()
     }
 
--- a/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpConnector.kt
@@ -31,19 +31,31 @@
 
 private const val DEFAULT_CONNECT_TIMEOUT_MS = 2_000L
 
+/** Relation of a response to the request that is in progress on its connection. */
+enum class ResponseMatch {
+    /** The response answers the request. */
+    OWN,
+
+    /** The response answers another request and is dropped. */
+    FOREIGN,
+
+    /** The response may answer the request or repeat the response to an earlier one; the call fails. */
+    AMBIGUOUS,
+}
+
 /**
  * Options of a single request.
  *
  * @param maxIdleMs maximum idle time of a pooled connection that is reused; the server may be closing one that was idle longer.
  * @param connectTimeoutMs connect timeout of a new connection.
  * @param acceptsCloseDelimited whether to accept a response without a length, which ends when its connection is closed.
- * @param belongs whether a response answers this request; other responses are dropped.
+ * @param match relation of a response to this request; its second argument tells whether the connection had carried another request.
  */
 class SendOptions(
     val maxIdleMs: Long = Long.MAX_VALUE,
     val connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS,
     val acceptsCloseDelimited: Boolean = false,
-    val belongs: (HttpResponse) -> Boolean = { true },
+    val match: (HttpResponse, Boolean) -> ResponseMatch = { _, _ -> ResponseMatch.OWN },
 )
 
 /** Request in progress that can be canceled. */
@@ -81,7 +93,7 @@
         val call = ClientCall(request, address, options, onResult)
         call.startTimer(loop.next(), timeoutMs)
         val pooled = takeIdle(address, options.maxIdleMs)
-        if (pooled != null) call.sendOn(pooled) else connect(address, call, minOf(timeoutMs, options.connectTimeoutMs))
+        if (pooled != null) call.sendOn(pooled, reused = true) else connect(address, call, minOf(timeoutMs, options.connectTimeoutMs))
         return Cancellable { call.fail(LostReason.CANCELLED) }
     }
 
@@ -124,7 +136,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs.coerceAtLeast(1).toInt())
                 .handler(initializer())
         bootstrap.connect(address.host, address.port).addListener { future ->
-            if (future.isSuccess) call.sendOn((future as ChannelFuture).channel()) else call.failUnsent(future.cause())
+            if (future.isSuccess) call.sendOn((future as ChannelFuture).channel(), reused = false) else call.failUnsent(future.cause())
         }
     }
 
--- a/http/src/test/kotlin/wigeonreel/http/EndlessResponseTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/EndlessResponseTest.kt
@@ -163,7 +163,9 @@
 
     private fun send(timeoutMs: Long): HttpResult {
         val done = CompletableFuture<HttpResult>()
-        val options = SendOptions(acceptsCloseDelimited = true) { it.header("Id") == "own" }
+        val options = SendOptions(acceptsCloseDelimited = true) { response, _ ->
+                if (response.header("Id") == "own") ResponseMatch.OWN else ResponseMatch.FOREIGN
+            }
         val address = HttpAddress("127.0.0.1", server.localPort)
         loop.execute { connector.send(address, HttpRequest("GET", "/"), timeoutMs, options) { done.complete(it) } }
         return done.get(30, TimeUnit.SECONDS)
--- a/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
@@ -115,7 +115,7 @@
     @Test
     fun `responses to other requests are dropped and the following response to this one is returned`() {
         val replies = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\ny"
-        val options = SendOptions { it.header("Id") == "b" }
+        val options = SendOptions { response, _ -> if (response.header("Id") == "b") ResponseMatch.OWN else ResponseMatch.FOREIGN }
         expectThat(sendTo(replies, options)).isA<HttpResult.Answer>().get { response.text }.isEqualTo("y")
     }
 
--- a/standin/src/main/kotlin/wigeonreel/standin/BackendStandin.kt
+++ b/standin/src/main/kotlin/wigeonreel/standin/BackendStandin.kt
@@ -80,7 +80,8 @@
     private fun serve(exchange: HttpExchange) {
         if (inFlight >= settings.slots) {
             shed++
-            return exchange.respond(HttpResponse(UNAVAILABLE, listOf(HttpHeader("Wigeon-Shed", "true"))))
+            val context = exchange.request.header("Wigeon-Context")?.let { HttpHeader("Wigeon-Context", it) }
+            return exchange.respond(HttpResponse(UNAVAILABLE, listOfNotNull(HttpHeader("Wigeon-Shed", "true"), context)))
         }
         countRequest(exchange.request)
         inFlight++
--- a/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
@@ -13,7 +13,17 @@
 import kotlin.random.Random
 
 /** Ways in which a server spoils a response. */
-enum class Spoil { CLOSE, CUT_HEAD, CUT_BODY, RESET, SILENCE, EXTRA_RESPONSE }
+enum class Spoil {
+    CLOSE,
+    CUT_HEAD,
+    CUT_BODY,
+    RESET,
+    SILENCE,
+    EXTRA_RESPONSE,
+
+    /** The refusal of an earlier request is written once more, before the request is run. */
+    REPEATED_REFUSAL,
+}
 
 /**
  * Work of one service.
@@ -148,9 +158,11 @@
         try {
             socket.tcpNoDelay = true
             val input = socket.getInputStream().buffered()
+            var first = true
             while (true) {
                 val request = readMessage(input) ?: break
-                if (!handle(start, request, socket)) break
+                if (!handle(start, request, socket, first)) break
+                first = false
             }
         } catch (expected: IOException) {
             // The daemon has closed the connection.
@@ -161,7 +173,7 @@
     }
 
     /** Returns whether the connection is kept. */
-    private fun handle(start: Start, request: RawMessage, socket: Socket): Boolean {
+    private fun handle(start: Start, request: RawMessage, socket: Socket, first: Boolean): Boolean {
         val id = request.header("X-Attempt-Id")
         val echo = mapOf("X-Attempt-Id" to id)
         if (request.header("X-Expected-Instance") != start.id) {
@@ -173,17 +185,18 @@
             return true
         }
         try {
-            return run(request, id, socket)
+            return run(request, id, socket, if (first) spoils - Spoil.REPEATED_REFUSAL else spoils)
         } finally {
             slots.release()
         }
     }
 
-    private fun run(request: RawMessage, id: String, socket: Socket): Boolean {
+    private fun run(request: RawMessage, id: String, socket: Socket, spoils: List<Spoil>): Boolean {
         val run = Run(id, vm, nowMs(), request.header("X-Credential").isNotEmpty())
         val spoil = if (random.nextDouble() < spoilShare) spoils.randomOrNull(random) else null
         run.spoiled = spoil != null && spoil != Spoil.EXTRA_RESPONSE
         records.add(run)
+        if (spoil == Spoil.REPEATED_REFUSAL) respond(socket, UNAVAILABLE, mapOf("X-Not-Executed" to "1"), ByteArray(0))
         val deadlineMs = nowMs() + (request.header("X-Deadline-Ms").toLongOrNull() ?: DEFAULT_DEADLINE_MS)
         val work = work(request.target.substringAfter('/').substringBefore('/'))
         val workMs = (work.workMs * slowFactor * exp(WORK_SPREAD * gaussian()))
@@ -210,13 +223,14 @@
             Spoil.CUT_BODY -> output.write(response, 0, response.size / 2)
             Spoil.RESET -> socket.setSoLinger(true, 0)
             Spoil.SILENCE -> Thread.sleep(SILENCE_MS)
+            Spoil.REPEATED_REFUSAL -> output.write(response)
             Spoil.EXTRA_RESPONSE -> {
                 output.write(response)
                 Thread.sleep(EXTRA_DELAY_MS)
                 output.write(response)
             }
         }
-        return spoil == Spoil.EXTRA_RESPONSE
+        return spoil == Spoil.EXTRA_RESPONSE || spoil == Spoil.REPEATED_REFUSAL
     }
 
     private fun respond(socket: Socket, status: Int, headers: Map<String, String>, body: ByteArray) =
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshPathTest.kt
@@ -145,12 +145,28 @@
 
     @Test
     fun `a request that a server turns away unrun goes to another or is refused as not run`() {
-        val shed = HttpResponse(503, listOf(HttpHeader("X-Not-Executed", "1")))
-        back.server.behaviour = { it.respond(shed) }
-        spare.server.behaviour = { it.respond(shed) }
+        listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(shed(it.request.header("X-Attempt-Id"))) } }
         expectThat(send("/book/x", "POST").status).isEqualTo(503)
     }
 
+    /** The refusal carried no id and repeated that of an earlier request on the connection, whose server ran the present one. */
+    @Test
+    fun `a repeated refusal is told to the caller of a request that runs`() {
+        fleet.await("a connection to each server is kept") {
+            send("/read/x")
+            listOf(back, spare).all { it.server.received.isNotEmpty() }
+        }
+        listOf(back, spare).forEach { vm ->
+            vm.server.received.clear()
+            vm.server.behaviour = { it.respond(shed(id = null)) }
+        }
+        expectThat(send("/book/x", "POST").status).isEqualTo(502)
+        expectThat(executedRequests).hasSize(1)
+    }
+
+    private fun shed(id: String?) =
+        HttpResponse(503, listOfNotNull(HttpHeader("X-Not-Executed", "1"), id?.let { HttpHeader("X-Attempt-Id", it) }))
+
     @Test
     fun `a withdrawn key and an added route take hold, also while the store forgets its history`() {
         fleet.storeFault("forget")
