--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -17,6 +17,7 @@
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
 import wigeonreel.http.HttpHandler
+import wigeonreel.http.HttpLimits
 import wigeonreel.http.HttpListener
 import wigeonreel.http.eventLoop
 import wigeonreel.http.textResponse
@@ -89,7 +90,7 @@
         val limit = settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES
         kernel.register(PeerEndpoint(traffic, InetSocketAddress(settings.peers.host, settings.peers.port), limit, PeerCalls()))
         kernel.register(callerListener)
-        listen("control-listener", settings.control, reports(Reports()))
+        listen("control-listener", settings.control, reports(Reports()), settings.http.copy(maxBodyBytes = MAX_REPORT_BYTES))
         listen("readiness-listener", settings.readiness, PageHandler { readiness() })
         listen("metrics-listener", settings.metrics, PageHandler { textResponse(OK, registry.scrape()) })
         gauge("wigeon.backend.running") { guard.running }
@@ -183,10 +184,19 @@
 
     private fun self() = Member.starting(settings.id, incarnation, PeerAddress(settings.peers.host, settings.peers.port), settings.place)
 
-    private fun listen(name: String, address: HttpAddress, handler: HttpHandler) = kernel.register(listener(name, address, handler))
+    private fun listen(
+        name: String,
+        address: HttpAddress,
+        handler: HttpHandler,
+        limits: HttpLimits = settings.http,
+    ) = kernel.register(listener(name, address, handler, limits))
 
-    private fun listener(name: String, address: HttpAddress, handler: HttpHandler) =
-        HttpListener(name, traffic, address.host, address.port, settings.http, handler)
+    private fun listener(
+        name: String,
+        address: HttpAddress,
+        handler: HttpHandler,
+        limits: HttpLimits = settings.http,
+    ) = HttpListener(name, traffic, address.host, address.port, limits, handler)
 
     private fun gauge(name: String, value: () -> Number) = Gauge.builder(name, value).register(registry)
 
@@ -237,6 +247,9 @@
         const val OK = 200
         const val UNAVAILABLE = 503
         const val MESSAGE_OVERHEAD_BYTES = 65_536
+
+        /** Maximum size of a backend server's report; parsing a far larger one would take a large part of the heap. */
+        const val MAX_REPORT_BYTES = 65_536
         const val TICK_MS = 50L
 
         /** Timeout for reading the departure record; a leaving server continues to serve for about this time. */
