Skip announcements that no daemon can have written

The log of one daemon had 42 errors: the control event loop's tick ended with 'port out of range', so it published no view, and callers' connections were closed after 'Invalid host or port', without an answer.

Cause: MemberRegistry and the gossip accepted every member that could be decoded; its address was used in the control loop and, as the server's announcement, in the traffic loop. GossipCodec now refuses members without an id or with a port, host, start time, revision or number of slots that no daemon announces; a host name is refused since resolving it blocks the loop. MemberRegistry skips such rows and logs each once. A claim about this daemon with the highest revision is refuted by a new incarnation.

The soak's store now holds such rows in each run, and a request that gets no answer at an undisturbed daemon is a violation (no-answer).

--- a/core/src/main/kotlin/wigeonreel/membership/Membership.kt
+++ b/core/src/main/kotlin/wigeonreel/membership/Membership.kt
@@ -202,8 +202,11 @@
     private fun refuteIfNeeded(claim: Member) {
         if (claim.incarnation < self.incarnation || !claim.supersedes(self)) return
         val needsNewIncarnation =
-            claim.incarnation > self.incarnation || (claim.state == MemberState.LEFT && self.state != MemberState.LEFT)
-        updateSelf(self.copy(incarnation = claim.incarnation + (if (needsNewIncarnation) 1 else 0), revision = claim.revision + 1))
+            claim.incarnation > self.incarnation ||
+                (claim.state == MemberState.LEFT && self.state != MemberState.LEFT) ||
+                claim.revision == Int.MAX_VALUE
+        val revision = if (needsNewIncarnation) 0 else claim.revision + 1
+        updateSelf(self.copy(incarnation = claim.incarnation + (if (needsNewIncarnation) 1 else 0), revision = revision))
     }
 
     private fun updateSelf(next: Member) {
--- a/core/src/test/kotlin/wigeonreel/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/wigeonreel/membership/MembershipTest.kt
@@ -4,6 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import wigeonreel.place.Place
 import kotlin.random.Random
 
@@ -79,6 +80,15 @@
         expectThat(nodes.map { it.view["d2"]?.routable }).all { isEqualTo(false) }
     }
 
+    @Test
+    fun `a claim with the highest revision can't be refuted`() {
+        val node = nodes[0]
+        val claim = node.self.copy(revision = Int.MAX_VALUE, state = MemberState.DEAD)
+        node.seed(listOf(claim), 0)
+        expectThat(node.self.supersedes(claim)).isTrue()
+        expectThat(node.self.state).isEqualTo(MemberState.ALIVE)
+    }
+
     @Test
     fun `a new incarnation replaces a dead one`() {
         val node = nodes[0]
--- a/daemon/src/main/kotlin/wigeonreel/codec/GossipCodec.kt
+++ b/daemon/src/main/kotlin/wigeonreel/codec/GossipCodec.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import com.google.protobuf.InvalidProtocolBufferException
+import io.netty.util.NetUtil
 import wigeonreel.config.ConfigDelta
 import wigeonreel.config.ConfigEntry
 import wigeonreel.membership.ConfigProof
@@ -42,7 +43,7 @@
         .build()
         .toByteArray()
 
-/** Decodes the payload of one datagram; returns a [GossipError] for malformed bytes, an unknown kind or an unknown member state. */
+/** Decodes the payload of one datagram; returns a [GossipError] for malformed bytes, an unknown kind or an invalid member. */
 fun decodeGossip(bytes: ByteArray): Either<GossipError, GossipMessage> =
     Either
         .catchOrThrow<InvalidProtocolBufferException, Gossip> { Gossip.parseFrom(bytes) }
@@ -63,8 +64,8 @@
 
 private fun Gossip.toCore(): Either<GossipError, GossipMessage> {
     val kind = GossipKind.entries.getOrNull(kindValue) ?: return Either.Left(GossipError("unknown kind $kindValue"))
-    val sender = sender.toCore() ?: return Either.Left(GossipError("unknown member state"))
-    val updates = updatesList.map { it.toCore() ?: return Either.Left(GossipError("unknown member state")) }
+    val sender = sender.toCore() ?: return Either.Left(GossipError("invalid member"))
+    val updates = updatesList.map { it.toCore() ?: return Either.Left(GossipError("invalid member")) }
     return Either.Right(
         GossipMessage(
             kind = kind,
@@ -94,8 +95,16 @@
         .also { builder -> server?.let { builder.setService(it.service).setSlots(it.slots).setReady(it.ready) } }
         .build()
 
+/** Highest start time that is plausible, in milliseconds since the epoch: the year 2200. */
+private const val MAX_INCARNATION_MS = 7_258_118_400_000L
+private const val MAX_PORT = 65_535
+
+/** Returns null if a field has a value that no daemon announces; host names are refused, since to resolve one blocks the event loop. */
 private fun WireMember.toCore(): Member? {
     if (state == WireState.UNRECOGNIZED) return null
+    val addressValid = peerPort in 1..MAX_PORT && (NetUtil.isValidIpV4Address(host) || NetUtil.isValidIpV6Address(host))
+    val countsValid = incarnation in 0..MAX_INCARNATION_MS && revision >= 0 && (service.isEmpty() || slots > 0)
+    if (id.isEmpty() || !addressValid || !countsValid) return null
     val server = if (service.isEmpty()) null else ServerInfo(service, slots, ready)
     val state = MemberState.entries[stateValue]
     return Member(id, incarnation, revision, state, PeerAddress(host, peerPort), Place(region, failureDomain), server)
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -1,5 +1,9 @@
 package wigeonreel.control
 
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import wigeonreel.codec.decodeGossip
 import wigeonreel.codec.encode
 import wigeonreel.kernel.Log
@@ -16,6 +20,7 @@
     private val table: TableService,
 ) {
     private val log = Log("registry")
+    private val skippedRows = LinkedHashSet<RowName>()
 
     /** Writes the row of [member] and calls [onWritten] once the store confirms it. Idempotent. */
     fun announce(member: Member, onWritten: () -> Unit) =
@@ -37,13 +42,27 @@
 
     private fun Member.toText() = Base64.getEncoder().encodeToString(GossipMessage(GossipKind.NEWS, 0, this).encode())
 
-    private fun Row.toMember(): Member? {
-        val bytes = runCatching { Base64.getDecoder().decode(value) }.getOrNull() ?: return null
-        return decodeGossip(bytes).getOrNull()?.sender
+    /** Returns null for a row that another program wrote, which must not keep the others from being read. */
+    private fun Row.toMember(): Member? =
+        decodeBase64(value)
+            .flatMap { bytes -> decodeGossip(bytes).mapLeft { it.reason } }
+            .map { it.sender }
+            .flatMap { if (it.id == name.row) it.right() else "it announces ${it.id}".left() }
+            .onLeft { logSkipped(name, it) }
+            .getOrNull()
+
+    private fun decodeBase64(text: String): Either<String, ByteArray> =
+        Either.catchOrThrow<IllegalArgumentException, ByteArray> { Base64.getDecoder().decode(text) }.mapLeft { "not base64" }
+
+    private fun logSkipped(row: RowName, reason: String) {
+        if (skippedRows.size < MAX_LOGGED_ROWS && skippedRows.add(row)) log.warn("row $row skipped: $reason; another program wrote it")
     }
 
     private companion object {
         const val TABLE = "daemons"
         const val MAX_SEEDS = 100
+
+        /** Maximum number of invalid rows that are logged, once each. */
+        const val MAX_LOGGED_ROWS = 100
     }
 }
--- a/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
@@ -3,9 +3,12 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.IntRange
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import wigeonreel.config.ConfigDelta
 import wigeonreel.config.ConfigEntry
 import wigeonreel.membership.ConfigProof
@@ -37,6 +40,27 @@
         expectThat(decodeGossip(message.encode()).getOrNull()).isEqualTo(message)
     }
 
+    @TestFactory
+    fun `a member that no daemon can have announced is accepted`() =
+        mapOf(
+            "port out of range" to member.copy(address = PeerAddress("127.0.0.1", 70_000)),
+            "no port" to member.copy(address = PeerAddress("127.0.0.1", 0)),
+            "host name" to member.copy(address = PeerAddress("no.such.host.example", 7)),
+            "no id" to member.copy(id = ""),
+            "negative slots" to member.copy(server = ServerInfo("s", -1, true)),
+            "negative revision" to member.copy(revision = -1),
+            "start time too large" to member.copy(incarnation = Long.MAX_VALUE),
+            "negative start time" to member.copy(incarnation = -1),
+        ).flatMap { (name, odd) -> listOf("$name, as sender" to message.copy(sender = odd), "$name, as update" to message.copy(updates = listOf(odd))) }
+            .map { (name, odd) -> DynamicTest.dynamicTest(name) { expectThat(decodeGossip(odd.encode()).isLeft()).isTrue() } }
+
+    @Test
+    fun `deeply nested bytes overflow the stack`() {
+        val startOfGroup = byteArrayOf(0xA3.toByte(), 0x06)
+        val nested = (0 until 30_000).flatMap { startOfGroup.asList() }.toByteArray()
+        expectThat(decodeGossip(nested).isLeft()).isTrue()
+    }
+
     @Property(seed = "20261204", tries = 3_000)
     fun `a datagram with a changed byte decodes to a message or a GossipError`(
         @ForAll @IntRange(min = 0, max = 150) index: Int,
--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecks.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecks.kt
@@ -22,7 +22,7 @@
     private val disruptions = records.disruptions.toList()
 
     /** Returns all violations. */
-    fun all(): List<Violation> = lostByKeptConnections() + lostAfterTerm() + lostAfterHup() + lostDuringChanges() + replacedAfterTerm()
+    fun all(): List<Violation> = lostByKeptConnections() + lostAfterTerm() + lostAfterHup() + lostDuringChanges() + replacedAfterTerm() + silent()
 
     /** At any time, at most [MAX_LOST_BY_KEPT_CONNECTIONS] requests of reused connections that a sound server received may be lost. */
     fun lostByKeptConnections(): List<Violation> {
@@ -93,6 +93,12 @@
                 .map { violation("replaced-after-term", it, term) }
         }
 
+    /** A daemon answers by the route's time-out, whatever its servers and peers do. */
+    fun silent(): List<Violation> =
+        records.attempts
+            .filter { it.end == AttemptEnd.SILENT && !disrupted(it.vm, it, unplannedOnly = true) }
+            .map { violation("no-answer", it) }
+
     private fun disruptionsOf(kind: DisruptionKind) = disruptions.filter { it.kind == kind }
 
     /** Whether the daemon passed the request on, or kept its connection long enough to have read it. */
--- a/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
@@ -99,6 +99,7 @@
     /** Plays the run and returns the violations. */
     fun play(): List<Violation> {
         changeConfig()
+        OddRows.values.forEach { (key, value) -> putRow("daemons", key, value) }
         vms.forEach { it.daemon.start() }
         await("all daemons are ready") { vms.all { it.daemon.ready() } }
         await("all routes are served") {
@@ -247,11 +248,15 @@
 
     private fun changeConfig() =
         disrupt(DisruptionKind.CONFIG, null) {
-            val value = Base64.getEncoder().encodeToString(SoakShape.configuration(version.incrementAndGet()).encodeToByteArray())
-            val body = """{"setKeys":[{"table":"op","part":"","key":"config","value":"$value"}]}"""
-            while (storeCall("POST /rows-tx HTTP/1.1", body) != OK) Thread.sleep(RETRY_DELAY_MS)
+            putRow("op", "config", SoakShape.configuration(version.incrementAndGet()).encodeToByteArray())
         }
 
+    private fun putRow(table: String, key: String, value: ByteArray) {
+        val encoded = Base64.getEncoder().encodeToString(value)
+        val body = """{"setKeys":[{"table":"$table","part":"","key":"$key","value":"$encoded"}]}"""
+        while (storeCall("POST /rows-tx HTTP/1.1", body) != OK) Thread.sleep(RETRY_DELAY_MS)
+    }
+
     private fun storeFault(fault: StoreFault) =
         storeCall("GET /_fault?mode=${fault.name.lowercase().replace('_', '-')}&ms=1500 HTTP/1.1", "")
 
