--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -106,7 +106,8 @@
         kernel.start()
         control.execute { departures.read { departure -> traffic.execute { onDepartureRead(departure) } } }
         traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        events.changed("start", "id=${settings.id} incarnation=$incarnation service=${settings.place}")
+        val inForce = "graceMs=${settings.graceMs} retryRatio=${settings.retryRatio}"
+        events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} $inForce")
     }
 
     /**
--- a/standin/src/test/kotlin/wigeonreel/processes/DaemonProcess.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/DaemonProcess.kt
@@ -99,7 +99,7 @@
             false
         }
 
-    private fun fields(): JsonObject =
+    internal fun fields(): JsonObject =
         buildJsonObject {
             put("node", name)
             put("ip", ip)
--- a/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
@@ -42,7 +42,7 @@
 ) : AutoCloseable {
     private val startedNs = System.nanoTime()
     private val random = Random(seed)
-    private val bounds = Bounds()
+    private val bounds = Bounds(graceMs = plan.graceS * MS_PER_SECOND)
     val records = Records()
     private val storeAddress = "127.$net.255.1:${DaemonProcess.BASE_PORT}"
     private val storeLoop = eventLoop("store")
@@ -75,6 +75,7 @@
                 storeAddress,
                 root,
                 directory,
+                DaemonProcess.BOUNDS + ("graceS" to plan.graceS.toString()),
             )
         val calls = Caller(name, daemon.callers, records, ::nowMs, Random(seed * 31 + index))
         val server =
--- a/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
@@ -62,18 +62,26 @@
  * Schedule of one run, drawn from its seed: planned work alone, then all disruptions overlapping, then planned work during trouble
  * of the store.
  *
- * @param requestsPerSecond requests of the clients of one VM.
- * @param workFactor factor on the duration of all requests.
- * @param uploadPauseMs pause in the middle of some uploads, in milliseconds.
+ * @param vmCount number of VMs.
  */
 class SoakPlan(
     seed: Long,
     val vmCount: Int,
 ) {
     private val random = Random(seed)
+
+    /** Requests of the clients of one VM. */
     val requestsPerSecond = random.nextDouble(4.0, 12.0)
+
+    /** Factor on the duration of all requests. */
     val workFactor = random.nextDouble(0.5, 2.0)
+
+    /** Pause in the middle of some uploads, in milliseconds. */
     val uploadPauseMs = random.nextLong(0, 400)
+
+    /** Time between SIGTERM and SIGKILL, in seconds. */
+    val graceS = listOf(4, 6, 6, 10).random(random)
+
     val steps: List<TimedStep> = (plannedWork(0) + overlapping() + duringStoreTrouble()).sortedBy { it.atMs }
 
     private fun plannedWork(fromMs: Long): List<TimedStep> =
