Answer what is still open at the end of the grace period; count unwritten responses in wigeonreeld too

Callers whose request outlasted the grace period saw their connection end. They now get the response of a request whose time is over, 0.4 s before the end: 504 where a server may have run it, otherwise the refusal as not run.

--- a/core/src/main/kotlin/wigeonreel/drain/ShutdownStage.kt
+++ b/core/src/main/kotlin/wigeonreel/drain/ShutdownStage.kt
@@ -22,7 +22,7 @@
 private const val MIN_SHUTDOWN_MS = 2_500L
 
 /** Time before the end of the grace period at which the process exits by itself, in milliseconds. */
-const val GRACE_MARGIN_MS: Long = 300
+const val GRACE_MARGIN_MS: Long = 400
 
 /** Maximum time after the request to stop at which requests are accepted whatever their timeouts, in milliseconds. */
 private const val MAX_LATE_ACCEPTANCE_MS = 3_000L
--- a/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/Daemon.kt
@@ -82,12 +82,19 @@
     private val controlService =
         kernel.register(ControlService(controlLoop, self(), table, clock, ControlPolicy(), ::fetchConfig, ::publish))
     private val drained = CountDownLatch(1)
+    private val localApi = LocalApi(entry, guard, clock, ::announce)
+    private val trafficListeners =
+        with(settings.listen) {
+            listOf(
+                HttpListener("caller-listener", trafficLoop, host, callerPort, settings.http, entry.callerHandler),
+                HttpListener("local-listener", trafficLoop, LOOPBACK, localPort, settings.http, localApi),
+            )
+        }
 
     init {
         val listen = settings.listen
         val handler = PeerCallsHandler()
         dispatcher.localHandler = handler
-        val localApi = LocalApi(entry, guard, clock, ::announce)
         val admin = AdminApi(controlService, registry, DaemonActions())
         kernel.register(
             PeerEndpoint(
@@ -97,8 +104,7 @@
                 handler,
             ),
         )
-        kernel.register(HttpListener("caller-listener", trafficLoop, listen.host, listen.callerPort, settings.http, entry.callerHandler))
-        kernel.register(HttpListener("local-listener", trafficLoop, LOOPBACK, listen.localPort, settings.http, localApi))
+        trafficListeners.forEach { kernel.register(it) }
         kernel.register(HttpListener("admin-listener", controlLoop, listen.host, listen.adminPort, settings.http, admin))
     }
 
@@ -129,7 +135,7 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        state.drain = state.drain.advance(state.inFlight, nowMs)
+        state.drain = state.drain.advance(state.inFlight + trafficListeners.sumOf { it.openRequests }, nowMs)
         if (state.drain == DrainState.Drained) drained.countDown()
         val server = state.server ?: return
         if (server.info.ready &&
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -123,7 +123,9 @@
         control.execute { fleet.leave(MemberState.LEAVING) }
         awaitStage(startedNs, ShutdownStage.DONE)
         traffic.execute { state.closing = true }
-        while (openRequests() > 0 && sinceMs(startedNs) < settings.graceMs - GRACE_MARGIN_MS) Thread.sleep(STOP_POLL_MS)
+        awaitNoneOpen(startedNs, settings.graceMs - GRACE_MARGIN_MS)
+        traffic.submit { sender.endAll() }.sync()
+        awaitNoneOpen(startedNs, settings.graceMs - GRACE_MARGIN_MS + LAST_RESPONSES_MS)
         events.changed("stopped", "openRequests=${openRequests()} afterMs=${sinceMs(startedNs)}")
         kernel.stop()
     }
@@ -134,6 +136,11 @@
     /** Returns the number of callers' requests whose response is not written yet and of requests for the local backend server. */
     private fun openRequests(): Int = traffic.submit<Int> { callerListener.openRequests + guard.openRequests }.get()
 
+    /** Waits until no request is open, at most until [untilMs] milliseconds after the start of the shutdown. */
+    private fun awaitNoneOpen(startedNs: Long, untilMs: Long) {
+        while (openRequests() > 0 && sinceMs(startedNs) < untilMs) Thread.sleep(STOP_POLL_MS)
+    }
+
     private fun awaitStage(startedNs: Long, stage: ShutdownStage) {
         while (shutdownStage(sinceMs(startedNs), openRequests(), settings.graceMs) < stage) Thread.sleep(STOP_POLL_MS)
     }
@@ -185,19 +192,11 @@
 
     private fun self() = Member.starting(settings.id, incarnation, PeerAddress(settings.peers.host, settings.peers.port), settings.place)
 
-    private fun listen(
-        name: String,
-        address: HttpAddress,
-        handler: HttpHandler,
-        limits: HttpLimits = settings.http,
-    ) = kernel.register(listener(name, address, handler, limits))
+    private fun listen(name: String, address: HttpAddress, handler: HttpHandler, limits: HttpLimits = settings.http) =
+        kernel.register(listener(name, address, handler, limits))
 
-    private fun listener(
-        name: String,
-        address: HttpAddress,
-        handler: HttpHandler,
-        limits: HttpLimits = settings.http,
-    ) = HttpListener(name, traffic, address.host, address.port, limits, handler)
+    private fun listener(name: String, address: HttpAddress, handler: HttpHandler, limits: HttpLimits = settings.http) =
+        HttpListener(name, traffic, address.host, address.port, limits, handler)
 
     private fun gauge(name: String, value: () -> Number) = Gauge.builder(name, value).register(registry)
 
@@ -259,6 +258,9 @@
         const val NS_PER_MS = 1_000_000L
         const val STOP_POLL_MS = 50L
 
+        /** Time for writing the responses to requests that the end of the grace period ends; a part of [GRACE_MARGIN_MS]. */
+        const val LAST_RESPONSES_MS = 100L
+
         /** Share of the fleet's retry ratio that daemons use; the rest is for retries that were attributed to the wrong request. */
         const val RETRY_RATIO_SHARE = 0.6
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -41,6 +41,7 @@
 ) : Service {
     override val name = "sender"
     private var attempts = 0L
+    private val pendingCalls = LinkedHashSet<PendingCall>()
 
     /**
      * Sends [call]; [onDone] receives the result and what it used once, by the call's deadline, unless the call is cancelled.
@@ -52,6 +53,9 @@
         return PendingCall(call, onDone).also { it.start() }::cancel
     }
 
+    /** Ends all calls as if their deadlines had passed, so that their callers get a response before the process ends. */
+    fun endAll() = pendingCalls.toList().forEach { it.timedOut() }
+
     private inner class PendingCall(
         private val call: MeshCall,
         private val onDone: (MeshResult, CallUsage) -> Unit,
@@ -79,6 +83,7 @@
         private var failureResponse: HttpResponse? = null
 
         fun start() {
+            pendingCalls += this
             val leftMs = (call.deadlineMs - clock.nowMs()).coerceAtLeast(0)
             timer = loop.schedule(::timedOut, leftMs, TimeUnit.MILLISECONDS)
             attemptNext(Refusal.NO_SERVER)
@@ -86,13 +91,11 @@
 
         fun cancel() {
             if (done) return
-            done = true
-            timer?.cancel(false)
-            attemptTimer?.cancel(false)
+            end()
             cancelAttempt()
         }
 
-        private fun timedOut() {
+        fun timedOut() {
             if (done) return
             if (attemptPending) mayHaveRun = true
             refuse(if (mayHaveRun) Refusal.TIMED_OUT else Refusal.DEADLINE_PASSED)
@@ -256,10 +259,15 @@
 
         private fun finish(result: MeshResult) {
             if (done) return
+            end()
+            onDone(result, CallUsage(uses, loads))
+        }
+
+        private fun end() {
             done = true
+            pendingCalls -= this
             timer?.cancel(false)
             attemptTimer?.cancel(false)
-            onDone(result, CallUsage(uses, loads))
         }
     }
 
--- a/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/wigeonreel/peer/PeerEndpoint.kt
@@ -83,6 +83,7 @@
 
     private companion object {
         const val FLOW_WINDOW_BYTES = 8 * 1024 * 1024
+
         /** Maximum time for sending the last replies. */
         const val STOP_TIMEOUT_MS = 100L
     }
