--- a/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
@@ -51,8 +51,12 @@
             "negative revision" to member.copy(revision = -1),
             "start time too large" to member.copy(incarnation = Long.MAX_VALUE),
             "negative start time" to member.copy(incarnation = -1),
-        ).flatMap { (name, odd) -> listOf("$name, as sender" to message.copy(sender = odd), "$name, as update" to message.copy(updates = listOf(odd))) }
-            .map { (name, odd) -> DynamicTest.dynamicTest(name) { expectThat(decodeGossip(odd.encode()).isLeft()).isTrue() } }
+        ).flatMap { (name, odd) ->
+            listOf(
+                "$name, as sender" to message.copy(sender = odd),
+                "$name, as update" to message.copy(updates = listOf(odd)),
+            )
+        }.map { (name, odd) -> DynamicTest.dynamicTest(name) { expectThat(decodeGossip(odd.encode()).isLeft()).isTrue() } }
 
     @Test
     fun `deeply nested bytes overflow the stack`() {
--- a/http/src/test/kotlin/wigeonreel/http/EndlessResponseTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/EndlessResponseTest.kt
@@ -163,7 +163,8 @@
 
     private fun send(timeoutMs: Long): HttpResult {
         val done = CompletableFuture<HttpResult>()
-        val options = SendOptions(acceptsCloseDelimited = true) { response, _ ->
+        val options =
+            SendOptions(acceptsCloseDelimited = true) { response, _ ->
                 if (response.header("Id") == "own") ResponseMatch.OWN else ResponseMatch.FOREIGN
             }
         val address = HttpAddress("127.0.0.1", server.localPort)
--- a/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/HttpTest.kt
@@ -100,7 +100,13 @@
             .map { (cut, length, reset) ->
                 DynamicTest.dynamicTest("${cut.name}, ${if (reset) "reset" else "closed"} after $length bytes") {
                     val result = sendTo(cut.response.take(length), SendOptions(acceptsCloseDelimited = true), reset)
-                    if (reset || length < cut.completeFrom) expectThat(result).isA<HttpResult.Lost>() else expectThat(result).isA<HttpResult.Answer>()
+                    if (reset ||
+                        length < cut.completeFrom
+                    ) {
+                        expectThat(result).isA<HttpResult.Lost>()
+                    } else {
+                        expectThat(result).isA<HttpResult.Answer>()
+                    }
                 }
             }
 
--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecks.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecks.kt
@@ -22,7 +22,8 @@
     private val disruptions = records.disruptions.toList()
 
     /** Returns all violations. */
-    fun all(): List<Violation> = lostByKeptConnections() + lostAfterTerm() + lostAfterHup() + lostDuringChanges() + replacedAfterTerm() + silent()
+    fun all(): List<Violation> =
+        lostByKeptConnections() + lostAfterTerm() + lostAfterHup() + lostDuringChanges() + replacedAfterTerm() + silent()
 
     /** At any time, at most [MAX_LOST_BY_KEPT_CONNECTIONS] requests of reused connections that a sound server received may be lost. */
     fun lostByKeptConnections(): List<Violation> {
--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
@@ -48,7 +48,12 @@
                 listOf(attempt(9_000, 11_000, AttemptEnd.RESET)),
                 listOf(term),
             ),
-            Case("a silent connection is no early end", setOf("no-answer"), listOf(attempt(9_000, 14_500, AttemptEnd.SILENT)), listOf(term)),
+            Case(
+                "a silent connection is no early end",
+                setOf("no-answer"),
+                listOf(attempt(9_000, 14_500, AttemptEnd.SILENT)),
+                listOf(term),
+            ),
             Case(
                 "a frozen daemon is silent",
                 emptySet(),
--- a/standin/src/test/kotlin/wigeonreel/processes/OddRows.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/OddRows.kt
@@ -25,8 +25,7 @@
             "odd-bytes" to byteArrayOf(0, -1, 7),
         )
 
-    private fun announcement(member: Member): ByteArray =
-        Base64.getEncoder().encode(GossipMessage(GossipKind.NEWS, 0, member).encode())
+    private fun announcement(member: Member): ByteArray = Base64.getEncoder().encode(GossipMessage(GossipKind.NEWS, 0, member).encode())
 
     private const val NESTING = 30_000
 }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
@@ -113,7 +113,9 @@
         val text = "x".repeat(11_000_000)
         listOf(back, spare).forEach { vm -> vm.server.behaviour = { it.respond(FakeServer.signed(it.request, 200, text)) } }
         Socket(front.callers.host, front.callers.port).use { socket ->
-            socket.getOutputStream().write("POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n".encodeToByteArray())
+            socket.getOutputStream().write(
+                "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n".encodeToByteArray(),
+            )
             expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
             val stopped = thread { front.daemon.leaveAndStop() }
             // Without an open request the daemon ends after 2.5 s.
