--- a/core/src/main/kotlin/wigeonreel/store/TableService.kt
+++ b/core/src/main/kotlin/wigeonreel/store/TableService.kt
@@ -76,6 +76,16 @@
     }
 }
 
+/**
+ * Part of a table in the order of its rows' names; rows that can't be read are left out.
+ *
+ * @param next name after which the next page begins, or null if this is the last one.
+ */
+data class TablePage(
+    val rows: List<Row>,
+    val next: String?,
+)
+
 /** Changes of one table in write order. */
 sealed interface TableChanges {
     /** The changes up to [version]; [rows] contains the written rows and omits removed rows. */
@@ -100,7 +110,7 @@
     fun delete(name: RowName, onResult: (Either<StoreError, Unit>) -> Unit)
 
     /** Reads up to [limit] rows of [table] with names after [after]. */
-    fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, List<Row>>) -> Unit)
+    fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, TablePage>) -> Unit)
 
     /** Waits up to [waitMs] milliseconds for changes of [table] after [version]; returns no rows if there are none. */
     fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit)
--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -185,9 +185,10 @@
     private fun readSeeds(nowMs: Long) {
         nextSeedReadMs = nowMs + ALONE_SEED_INTERVAL_MS
         if (!announced) announceSelf()
-        registry.readSeeds { seeds ->
-            announcementsRead = true
+        registry.readSeeds { seeds, complete ->
             membership.seed(seeds.filter { it.id != self.id }, clock.nowMs())
+            if (!complete) return@readSeeds
+            announcementsRead = true
             val alone = members.none { it.live && it.id != self.id }
             if (!alone) nextSeedReadMs = clock.nowMs() + if (watcherElection.elected) WATCHER_SEED_INTERVAL_MS else SEED_INTERVAL_MS
         }
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -32,10 +32,18 @@
     fun withdraw(member: Member) =
         table.delete(rowOf(member)) { result -> result.onLeft { log.info("announcement not deleted: ${it.message}") } }
 
-    /** Reads the first page of announcements, at most [MAX_SEEDS]; [onSeeds] is not called if the read fails. */
-    fun readSeeds(onSeeds: (List<Member>) -> Unit) =
-        table.scan(TABLE, "", MAX_SEEDS) { result ->
-            result.fold({ log.info("seeds not read: ${it.message}") }, { rows -> onSeeds(rows.mapNotNull { it.toMember() }) })
+    /**
+     * Reads all announcements page by page, since those of live daemons may stand behind those of many dead ones.
+     *
+     * [onSeeds] receives each page, and whether it is the last one; after a failed read it is not called again.
+     */
+    fun readSeeds(after: String = "", onSeeds: (List<Member>, Boolean) -> Unit): Unit =
+        table.scan(TABLE, after, PAGE_ROWS) { result ->
+            result.fold({ log.info("seeds not read: ${it.message}") }, { page ->
+                val next = page.next
+                onSeeds(page.rows.mapNotNull { it.toMember() }, next == null)
+                if (next != null) readSeeds(next, onSeeds)
+            })
         }
 
     private fun rowOf(member: Member) = RowName(TABLE, member.id)
@@ -60,7 +68,9 @@
 
     private companion object {
         const val TABLE = "daemons"
-        const val MAX_SEEDS = 100
+
+        /** Maximum number of rows that the store returns in one answer. */
+        const val PAGE_ROWS = 500
 
         /** Maximum number of invalid rows that are logged, once each. */
         const val MAX_LOGGED_ROWS = 100
--- a/daemon/src/test/kotlin/wigeonreel/control/MemberRegistryTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/control/MemberRegistryTest.kt
@@ -3,9 +3,13 @@
 import arrow.core.Either
 import arrow.core.right
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import wigeonreel.codec.encode
 import wigeonreel.membership.GossipKind
 import wigeonreel.membership.GossipMessage
@@ -18,16 +22,29 @@
 import wigeonreel.store.RowWrite
 import wigeonreel.store.StoreError
 import wigeonreel.store.TableChanges
+import wigeonreel.store.TablePage
 import wigeonreel.store.TableService
 import java.util.Base64
 
 class MemberRegistryTest {
-    /** Table service whose only answer is a scan of [rows]. */
+    /** Table service that only scans [rows], in the order of their names. */
     private class Rows(
         val rows: List<Row>,
     ) : TableService {
-        override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, List<Row>>) -> Unit) =
-            onResult(rows.right())
+        override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, TablePage>) -> Unit) {
+            val page = rows.filter { it.name.row > after }.sortedBy { it.name.row }
+            onResult(
+                TablePage(
+                    page.take(limit),
+                    page
+                        .take(limit)
+                        .lastOrNull()
+                        ?.name
+                        ?.row
+                        .takeIf { page.size > limit },
+                ).right(),
+            )
+        }
 
         override fun read(name: RowName, knownVersion: Long, onResult: (Either<StoreError, RowRead>) -> Unit) = Unit
 
@@ -61,9 +78,24 @@
         ).map { (name, value) ->
             DynamicTest.dynamicTest(name) {
                 val rows = listOf(row("d1", encode(member("d1"))), row("odd", value), row("d2", encode(member("d2"))))
-                var found = emptyList<String>()
-                MemberRegistry(Rows(rows)).readSeeds { seeds -> found = seeds.map { it.id } }
-                expectThat(found).isEqualTo(listOf("d1", "d2"))
+                expectThat(idsIn(rows)).isEqualTo(listOf("d1", "d2"))
             }
         }
+
+    @Test
+    fun `live daemons behind a thousand rows of dead ones are not found`() {
+        val dead = List(1_000) { "dead-${it.toString().padStart(4, '0')}" }
+        expectThat(idsIn((dead + "live").map { row(it, encode(member(it))) })).contains("live").hasSize(1_001)
+    }
+
+    private fun idsIn(rows: List<Row>): List<String> {
+        val found = mutableListOf<String>()
+        var complete = false
+        MemberRegistry(Rows(rows)).readSeeds { seeds, last ->
+            found += seeds.map { it.id }
+            complete = last
+        }
+        expectThat(complete).isTrue()
+        return found
+    }
 }
--- a/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
@@ -16,6 +16,7 @@
 import wigeonreel.store.RowWrite
 import wigeonreel.store.StoreError
 import wigeonreel.store.TableChanges
+import wigeonreel.store.TablePage
 import wigeonreel.store.TableService
 
 /** Simulated table service with a single row, outages, delays, lost answers and occasional stale reads. */
@@ -37,8 +38,8 @@
 
     override fun delete(name: RowName, onResult: (Either<StoreError, Unit>) -> Unit) = onResult(Unit.right())
 
-    override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, List<Row>>) -> Unit) =
-        onResult(emptyList<Row>().right())
+    override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, TablePage>) -> Unit) =
+        onResult(TablePage(emptyList(), null).right())
 
     override fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) =
         queue.after(waitMs) { onResult(TableChanges.Forgotten.right()) }
