--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
@@ -136,6 +136,12 @@
                 listOf(attempt(9_000, 11_000, AttemptEnd.ANSWERED, status = 502)),
                 listOf(term),
             ),
+            Case(
+                "the grace period of the caller's daemon ends while the daemon of the server stops",
+                emptySet(),
+                listOf(attempt(12_000, 15_700, AttemptEnd.ANSWERED, status = 504)),
+                listOf(term, term.copy(vm = "b", startMs = 14_000)),
+            ),
             Case(
                 "the daemon of the server stops and its caller gets another answer",
                 setOf("replaced-after-term"),
