--- a/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
@@ -94,6 +94,7 @@
     }
 
     /** Leaves as announced and starts again with a new id; blocks until the new start listens. */
+    @Synchronized
     fun replace() {
         val leaving = current
         state = "draining"
