--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
@@ -142,6 +142,12 @@
                 listOf(attempt(12_000, 15_700, AttemptEnd.ANSWERED, status = 504)),
                 listOf(term, term.copy(vm = "b", startMs = 14_000)),
             ),
+            Case(
+                "another VM, to which the request may have been sent, is killed",
+                emptySet(),
+                listOf(attempt(9_000, 11_000, AttemptEnd.ANSWERED, status = 502)),
+                listOf(term, Disruption(DisruptionKind.KILL, "c", 10_500, 12_000)),
+            ),
             Case(
                 "the daemon of the server stops and its caller gets another answer",
                 setOf("replaced-after-term"),
