Soak: check that the fleet serves again, in a window that is not empty

The window of the check 'not-recovered' had no length for a grace period of 6 s, so it could not fail. It covers a second now, and the load goes on for 20 s after the last step. The orchestration is split by what it does; calls to the store that fail are logged.

--- a/http/src/test/kotlin/wigeonreel/http/OpenRequestsTest.kt
+++ b/http/src/test/kotlin/wigeonreel/http/OpenRequestsTest.kt
@@ -70,7 +70,7 @@
         val exchange = received()
         socket.close()
         awaitOpenRequests(0)
-        loop.submit { exchange.respond(textResponse(200, "nobody reads this")) }.get()
+        loop.submit { exchange.respond(textResponse(200, "too late")) }.get()
         expectThat(openRequests()).isEqualTo(0)
     }
 
--- a/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/AppServer.kt
@@ -11,6 +11,7 @@
 import kotlin.concurrent.thread
 import kotlin.math.exp
 import kotlin.random.Random
+import kotlin.random.asJavaRandom
 
 /** Ways in which a server spoils a response. */
 enum class Spoil {
@@ -200,7 +201,7 @@
         if (spoil == Spoil.REPEATED_REFUSAL) respond(socket, UNAVAILABLE, mapOf("X-Not-Executed" to "1"), ByteArray(0))
         val deadlineMs = nowMs() + (request.header("X-Deadline-Ms").toLongOrNull() ?: DEFAULT_DEADLINE_MS)
         val work = work(request.target.substringAfter('/').substringBefore('/'))
-        val workMs = (work.workMs * slowFactor * exp(WORK_SPREAD * gaussian()))
+        val workMs = (work.workMs * slowFactor * exp(WORK_SPREAD * random.asJavaRandom().nextGaussian()))
         Thread.sleep((workMs / 2).toLong())
         val served = work.calls.all { route -> call(route, deadlineMs) }
         Thread.sleep((workMs / 2).toLong())
@@ -237,9 +238,6 @@
     private fun respond(socket: Socket, status: Int, headers: Map<String, String>, body: ByteArray) =
         socket.getOutputStream().write(encodeMessage("HTTP/1.1 $status Status", headers, body))
 
-    /** Sum of twelve uniform numbers, which is close to a normal distribution. */
-    private fun gaussian() = (1..GAUSSIAN_TERMS).sumOf { random.nextDouble() } - GAUSSIAN_TERMS / 2.0
-
     private companion object {
         const val OK = 200
         const val MISDIRECTED = 421
@@ -255,7 +253,6 @@
         const val RESTART_DELAY_MS = 500L
         const val DEFAULT_DEADLINE_MS = 5_000L
         const val WORK_SPREAD = 0.5
-        const val GAUSSIAN_TERMS = 12
         const val CUT_HEAD_BYTES = 30
         const val SILENCE_MS = 8_000L
         const val EXTRA_DELAY_MS = 20L
--- a/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
@@ -6,6 +6,7 @@
 import wigeonreel.standin.StoreFault
 import wigeonreel.standin.TableStandin
 import java.io.File
+import java.io.IOException
 import java.net.Socket
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
@@ -64,84 +65,63 @@
     private fun vm(index: Int, net: Int): SoakVm {
         val name = "vm$index"
         val service = SoakShape.services[index % SoakShape.services.size]
-        val zone = "z${index / SoakShape.services.size % ZONES}"
-        val daemon =
-            DaemonProcess(
-                name,
-                "127.$net.${index / 200}.${1 + index % 200}",
-                zone,
-                "r${index / SoakShape.services.size % 2}",
-                service,
-                storeAddress,
-                root,
-                directory,
-                DaemonProcess.BOUNDS + ("graceS" to plan.graceS.toString()),
-            )
-        val calls = Caller(name, daemon.callers, records, ::nowMs, Random(seed * 31 + index))
+        val group = index / SoakShape.services.size
+        val ip = "127.$net.${index / VMS_PER_NET}.${1 + index % VMS_PER_NET}"
+        val settings = DaemonProcess.BOUNDS + ("graceS" to plan.graceS.toString())
+        val daemon = DaemonProcess(name, ip, "z${group % ZONES}", "r${group % 2}", service, storeAddress, root, directory, settings)
+        val calls = Caller(name, daemon.callers, records, ::nowMs, randomOf("calls", index))
+        val work = { route: String -> SoakShape.work(route, plan.workFactor) }
         val server =
-            AppServer(
-                name,
-                service,
-                daemon.upstream,
-                daemon.control,
-                { SoakShape.work(it, plan.workFactor) },
-                calls,
-                records,
-                ::nowMs,
-                Random(
-                    seed * 37 + index,
-                ),
-            )
-        return SoakVm(daemon, server, Caller(name, daemon.callers, records, ::nowMs, Random(seed * 41 + index)))
+            AppServer(name, service, daemon.upstream, daemon.control, work, calls, records, ::nowMs, randomOf("server", index))
+        return SoakVm(daemon, server, Caller(name, daemon.callers, records, ::nowMs, randomOf("clients", index)))
     }
 
+    private fun randomOf(purpose: String, index: Int) = Random("$seed/$purpose/$index".hashCode())
+
     private fun nowMs() = (System.nanoTime() - startedNs) / NS_PER_MS
 
     /** Plays the run and returns the violations. */
     fun play(): List<Violation> {
-        changeConfig()
-        OddRows.values.forEach { (key, value) -> putRow("daemons", key, value) }
-        vms.forEach { it.daemon.start() }
-        await("all daemons are ready") { vms.all { it.daemon.ready() } }
-        await("all routes are served") {
-            vms.all { vm ->
-                SoakShape.clientRoutes.all { (route, _) ->
-                    vm.clients.call(ask(route, random))?.status ==
-                        OK
-                }
-            }
-        }
-        Thread.sleep(bounds.stableWindowMs)
-        records.attempts.clear()
+        start()
         val loadStartMs = nowMs()
-        val endMs = loadStartMs + 3 * SoakPlan.PHASE_MS + SoakPlan.RECOVERY_MS
-        val loads =
-            vms.mapIndexed {
-                index,
-                vm,
-                ->
-                thread(isDaemon = true, name = "load-$index") { load(vm, endMs, Random(seed * 43 + index)) }
-            }
-        thread(isDaemon = true, name = "watch") { watchProcesses() }
+        val loadEndMs = loadStartMs + 3 * SoakPlan.PHASE_MS + SoakPlan.RECOVERY_MS
+        val stopAtMs = loadEndMs - bounds.graceMs - MS_PER_SECOND
+        val loads = vms.mapIndexed { index, vm -> inBackground("load-$index") { load(vm, loadEndMs, randomOf("load", index)) } }
+        inBackground("watch") { watchProcesses() }
         for (timed in plan.steps) {
-            Thread.sleep((loadStartMs + timed.atMs - nowMs()).coerceAtLeast(0))
+            sleepUntil(loadStartMs + timed.atMs)
             steps.execute { play(timed.step) }
         }
-        Thread.sleep((endMs - bounds.graceMs - MS_PER_SECOND - nowMs()).coerceAtLeast(0))
-        val recoveredFromMs = endMs - SoakPlan.RECOVERY_MS / 2
+        sleepUntil(stopAtMs)
         // All daemons stop while their clients go on.
         vms.map { vm -> steps.submit { stop(vm, null) } }.forEach { it.get() }
         loads.forEach { it.join() }
         openDisruptions.forEach { records.disruptions += it }
-        return LostChecks(records, bounds).all() + RequestChecks(records).all() + processChecks() +
-            recoveryCheck(endMs - bounds.graceMs - MS_PER_SECOND, recoveredFromMs)
+        return LostChecks(records, bounds).all() + RequestChecks(records).all() + processChecks() + recoveryCheck(stopAtMs - MS_PER_SECOND)
     }
 
+    /** Starts all daemons, waits until each serves all routes, and forgets what was seen until then. */
+    private fun start() {
+        changeConfig()
+        OddRows.values.forEach { (key, value) -> putRow("daemons", key, value) }
+        vms.forEach { it.daemon.start() }
+        await("all daemons are ready") { vms.all { it.daemon.ready() } }
+        await("all routes are served") { vms.all { vm -> SoakShape.clientRoutes.all { (route, _) -> serves(vm, route) } } }
+        Thread.sleep(bounds.stableWindowMs)
+        records.attempts.clear()
+    }
+
+    private fun serves(vm: SoakVm, route: Route) = vm.clients.call(ask(route, random))?.status == OK
+
+    private fun inBackground(name: String, action: () -> Unit) = thread(isDaemon = true, name = name) { action() }
+
+    private fun sleepUntil(atMs: Long) = Thread.sleep((atMs - nowMs()).coerceAtLeast(0))
+
     /** Sends requests at random times until [endMs], each on a thread of its own. */
     private fun load(vm: SoakVm, endMs: Long, random: Random) {
         var nextMs = nowMs().toDouble()
         while (nextMs < endMs) {
-            Thread.sleep((nextMs.toLong() - nowMs()).coerceAtLeast(0))
+            sleepUntil(nextMs.toLong())
             val ask = ask(route(random), random)
             pool.execute { vm.clients.call(ask) }
             nextMs += -ln(1 - random.nextDouble()) * MS_PER_SECOND / plan.requestsPerSecond
@@ -261,15 +241,19 @@
     private fun storeFault(fault: StoreFault) =
         storeCall("GET /_fault?mode=${fault.name.lowercase().replace('_', '-')}&ms=1500 HTTP/1.1", "")
 
-    private fun storeCall(startLine: String, body: String): Int =
-        runCatching {
+    /** Returns the status of the store's answer, or null without one: the store may be in trouble. */
+    private fun storeCall(startLine: String, body: String): Int? =
+        try {
             Socket().use { socket ->
                 socket.connect(socketAddress(storeAddress), STORE_TIMEOUT_MS)
                 socket.soTimeout = STORE_TIMEOUT_MS
                 socket.getOutputStream().write(encodeMessage(startLine, mapOf("Host" to storeAddress), body.encodeToByteArray()))
                 readMessage(socket.getInputStream().buffered())?.status
             }
-        }.getOrNull() ?: 0
+        } catch (fault: IOException) {
+            log("store call failed: $fault")
+            null
+        }
 
     private fun watchProcesses() {
         while (true) {
@@ -287,8 +271,9 @@
     private fun processChecks() =
         records.unexpectedEnds.map { Violation("ended-by-itself", it) } + records.overruns.map { Violation("alive-after-grace-period", it) }
 
-    private fun recoveryCheck(untilMs: Long, fromMs: Long): List<Violation> {
-        val asked = records.attempts.filter { it.sentAtMs in minOf(fromMs, untilMs - MS_PER_SECOND)..untilMs - MS_PER_SECOND }
+    /** Checks that the fleet serves again in the last [RECOVERED_MS] before [untilMs]. */
+    private fun recoveryCheck(untilMs: Long): List<Violation> {
+        val asked = records.attempts.filter { it.sentAtMs in untilMs - RECOVERED_MS..untilMs }
         val served = asked.count { it.status == OK }
         return if (served < asked.size * MIN_SERVED_SHARE) listOf(Violation("not-recovered", "$served of ${asked.size}")) else emptyList()
     }
@@ -317,6 +302,7 @@
     private companion object {
         const val OK = 200
         const val ZONES = 4
+        const val VMS_PER_NET = 200
         const val NS_PER_MS = 1_000_000L
         const val MS_PER_SECOND = 1_000L
         const val RETRY_DELAY_MS = 100L
@@ -324,6 +310,9 @@
         const val START_TIMEOUT_MS = 40_000L
         const val CLIENT_STACK_BYTES = 262_144L
 
+        /** Time before the end of the run in which the fleet has to serve. */
+        const val RECOVERED_MS = 1_000L
+
         /** Minimum share of the requests that are served after the last disruption. */
         const val MIN_SERVED_SHARE = 0.25
     }
--- a/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
@@ -144,6 +144,6 @@
         const val PHASE_MS = 11_000L
 
         /** Time between the last step and the end of the load, in which the fleet has to serve again. */
-        const val RECOVERY_MS = 9_000L
+        const val RECOVERY_MS = 20_000L
     }
 }
