--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
@@ -88,6 +88,13 @@
                 listOf(term),
                 runEndedAtMs = 15_600,
             ),
+            Case(
+                "a response is on its way at the end of the grace period",
+                emptySet(),
+                listOf(attempt(12_900, 15_700)),
+                listOf(term),
+                runEndedAtMs = 15_695,
+            ),
             Case(
                 "unplanned trouble excuses a cut after SIGTERM",
                 emptySet(),
