--- a/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/LostChecksTest.kt
@@ -54,6 +54,11 @@
                 listOf(attempt(9_000, 14_500, AttemptEnd.SILENT)),
                 listOf(term),
             ),
+            Case(
+                "half of the requests are answered at their time-out",
+                emptySet(),
+                listOf(attempt(9_000, 14_500, AttemptEnd.SILENT), attempt(9_000, 14_010, AttemptEnd.ANSWERED, status = 504, id = "y")),
+            ),
             Case(
                 "a frozen daemon is silent",
                 emptySet(),
