Derive all times of a shutdown from the grace period, counted from the signal

Cause: the margin before the end was 400 ms whatever the grace period, more than a sixth of 2.4 s or less. Beside it, times counted from when the traffic loop noticed the request to stop, although the rule counts from the signal: a request that came up to 3 s after the notice was accepted whatever its timeout.

ShutdownSchedule derives all times in one place. Requests end 15% before the end, 900 ms at most, so most of the last sixth is left for a late notice and for ending the process; requests that may outlast it are accepted until 2.5 s instead of 3 s, half a second for a late notice. The time of the request is taken when the JVM starts its shutdown, and passed on.

--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -22,6 +22,7 @@
 import wigeonreel.steward.planHomesAndSeats
 import wigeonreel.store.TableService
 import java.net.InetSocketAddress
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.ThreadLocalRandom
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -117,8 +118,13 @@
     }
 
     override fun stop() {
-        loop.submit { leave(MemberState.LEFT) }.sync()
-        Thread.sleep(LEAVE_FLUSH_MS)
+        val withdrawn = CountDownLatch(1)
+        loop
+            .submit {
+                registry.withdraw(membership.self) { withdrawn.countDown() }
+                leave(MemberState.LEFT)
+            }.sync()
+        withdrawn.await(WITHDRAW_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         socket.close()
     }
 
@@ -128,7 +134,6 @@
     /** Announces to the fleet that this daemon is leaving or has left, according to [state]. */
     fun leave(state: MemberState) {
         membership.announce(membership.self.server?.copy(ready = false), state)
-        if (state == MemberState.LEFT) registry.withdraw(membership.self)
         repeat(LEAVE_ROUNDS) { socket.send(membership.tick(clock.nowMs() + it * TICK_MS * 2)) }
     }
 
@@ -289,6 +294,8 @@
         const val MAX_DELTA_VERSIONS = 8L
         const val MAX_DELTA_CHARS = 900
         const val LEAVE_ROUNDS = 4
-        const val LEAVE_FLUSH_MS = 50L
+
+        /** Maximum wait for the store to confirm that the row of this daemon is deleted. */
+        const val WITHDRAW_TIMEOUT_MS = 50L
     }
 }
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -28,9 +28,12 @@
             result.fold({ log.info("announcement not written: ${it.message}") }, { onWritten() })
         }
 
-    /** Deletes the row of [member]. A row left after a failure only lists an unreachable daemon. */
-    fun withdraw(member: Member) =
-        table.delete(rowOf(member)) { result -> result.onLeft { log.info("announcement not deleted: ${it.message}") } }
+    /** Deletes the row of [member] and calls [onEnd], also after a failure: the row then only lists an unreachable daemon. */
+    fun withdraw(member: Member, onEnd: () -> Unit) =
+        table.delete(rowOf(member)) { result ->
+            result.onLeft { log.info("announcement not deleted: ${it.message}") }
+            onEnd()
+        }
 
     /**
      * Reads all announcements page by page, since those of live daemons may stand behind those of many dead ones.
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -11,9 +11,8 @@
 import wigeonreel.control.Departure
 import wigeonreel.control.DepartureRecord
 import wigeonreel.daemon.Clock
-import wigeonreel.drain.GRACE_MARGIN_MS
+import wigeonreel.drain.ShutdownSchedule
 import wigeonreel.drain.ShutdownStage
-import wigeonreel.drain.shutdownStage
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
 import wigeonreel.http.HttpHandler
@@ -63,7 +62,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val log = kernel.register(EventLog())
     private val events = MeshEvents(log, registry, clock)
-    private val state = MeshState(settings.graceMs)
+    private val state = MeshState(ShutdownSchedule(settings.graceMs))
     private val router = Router(Random(incarnation))
     private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
     private val backendConnector = HttpConnector(traffic, settings.http.copy(maxBodyBytes = settings.maxAnswerBytes))
@@ -106,7 +105,10 @@
         kernel.start()
         control.execute { departures.read { departure -> traffic.execute { onDepartureRead(departure) } } }
         traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        val inForce = "graceMs=${settings.graceMs} retryRatio=${settings.retryRatio}"
+        val inForce =
+            with(
+                settings,
+            ) { "graceMs=$graceMs retryRatio=$retryRatio" }
         events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} $inForce")
     }
 
@@ -114,19 +116,21 @@
      * Shuts down gracefully and blocks until the daemon has stopped.
      *
      * Notifies callers first and peers later, and serves requests until none is open or the grace period ends.
+     *
+     * @param requestedAtMs time of the request to stop, in milliseconds.
      */
-    fun leaveAndStop() {
-        val startedNs = System.nanoTime()
-        traffic.execute { state.stopRequestedAtMs = clock.nowMs() }
-        events.changed("stop", "leaving")
-        awaitStage(startedNs, ShutdownStage.PEERS_NOTIFIED)
+    fun leaveAndStop(requestedAtMs: Long) {
+        val schedule = state.shutdownSchedule
+        traffic.execute { state.stopRequestedAtMs = requestedAtMs }
+        events.changed("stop", "leaving afterMs=${clock.nowMs() - requestedAtMs}")
+        awaitStage(requestedAtMs, ShutdownStage.PEERS_NOTIFIED)
         control.execute { fleet.leave(MemberState.LEAVING) }
-        awaitStage(startedNs, ShutdownStage.DONE)
+        awaitStage(requestedAtMs, ShutdownStage.DONE)
         traffic.execute { state.closing = true }
-        awaitNoneOpen(startedNs, settings.graceMs - GRACE_MARGIN_MS)
+        awaitNoneOpen(requestedAtMs + schedule.requestsEndAtMs)
         traffic.submit { sender.endAll() }.sync()
-        awaitNoneOpen(startedNs, settings.graceMs - GRACE_MARGIN_MS + LAST_RESPONSES_MS)
-        events.changed("stopped", "openRequests=${openRequests()} afterMs=${sinceMs(startedNs)}")
+        awaitNoneOpen(requestedAtMs + schedule.responsesEndAtMs)
+        events.changed("stopped", "openRequests=${openRequests()} afterMs=${clock.nowMs() - requestedAtMs}")
         kernel.stop()
     }
 
@@ -136,17 +140,15 @@
     /** Returns the number of callers' requests whose response is not written yet and of requests for the local backend server. */
     private fun openRequests(): Int = traffic.submit<Int> { callerListener.openRequests + guard.openRequests }.get()
 
-    /** Waits until no request is open, at most until [untilMs] milliseconds after the start of the shutdown. */
-    private fun awaitNoneOpen(startedNs: Long, untilMs: Long) {
-        while (openRequests() > 0 && sinceMs(startedNs) < untilMs) Thread.sleep(STOP_POLL_MS)
+    /** Waits until no request is open, at most until [untilMs]. */
+    private fun awaitNoneOpen(untilMs: Long) {
+        while (openRequests() > 0 && clock.nowMs() < untilMs) Thread.sleep(STOP_POLL_MS)
     }
 
-    private fun awaitStage(startedNs: Long, stage: ShutdownStage) {
-        while (shutdownStage(sinceMs(startedNs), openRequests(), settings.graceMs) < stage) Thread.sleep(STOP_POLL_MS)
+    private fun awaitStage(requestedAtMs: Long, stage: ShutdownStage) {
+        while (state.shutdownSchedule.stage(clock.nowMs() - requestedAtMs, openRequests()) < stage) Thread.sleep(STOP_POLL_MS)
     }
 
-    private fun sinceMs(startedNs: Long) = (System.nanoTime() - startedNs) / NS_PER_MS
-
     private fun tick() {
         val nowMs = clock.nowMs()
         guard.sweep(nowMs)
@@ -255,11 +257,7 @@
         /** Timeout for reading the departure record; a leaving server continues to serve for about this time. */
         const val DEPARTURE_READ_TIMEOUT_MS = 2_500L
         const val FETCH_TIMEOUT_MS = 1_000L
-        const val NS_PER_MS = 1_000_000L
-        const val STOP_POLL_MS = 50L
-
-        /** Time for writing the responses to requests that the end of the grace period ends; a part of [GRACE_MARGIN_MS]. */
-        const val LAST_RESPONSES_MS = 100L
+        const val STOP_POLL_MS = 20L
 
         /** Share of the fleet's retry ratio that daemons use; the rest is for retries that were attributed to the wrong request. */
         const val RETRY_RATIO_SHARE = 0.6
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -1,17 +1,19 @@
 package wigeonreel.mesh
 
 import wigeonreel.backend.BackendTracker
-import wigeonreel.drain.acceptsWhileStopping
+import wigeonreel.drain.ShutdownSchedule
 import wigeonreel.traffic.FleetView
 
 /**
- * State shared by the services of the traffic event loop; accessed only from that loop's thread.
- *
- * @param graceMs grace period between the request to stop and the end of the process, in milliseconds.
+ * State shared by the services of the traffic event loop; accessed only from that loop's thread, but for [shutdownSchedule].
  */
 class MeshState(
-    private val graceMs: Long,
+    shutdownSchedule: ShutdownSchedule,
 ) {
+    /** Times of a shutdown; replaced when the settings change, by any thread. */
+    @Volatile
+    var shutdownSchedule: ShutdownSchedule = shutdownSchedule
+
     /** Current fleet and configuration, or null until both are known. */
     var view: FleetView? = null
 
@@ -52,10 +54,10 @@
 
     /** Returns whether a request that may last [timeoutMs] milliseconds is accepted. */
     fun accepts(timeoutMs: Long, nowMs: Long): Boolean =
-        !closing && (stopRequestedAtMs?.let { acceptsWhileStopping(nowMs - it, timeoutMs, graceMs) } ?: true)
+        !closing && (stopRequestedAtMs?.let { shutdownSchedule.accepts(nowMs - it, timeoutMs) } ?: true)
 
     /** Returns the time until the process of a stopping daemon has ended, in milliseconds. */
-    fun remainingGraceMs(nowMs: Long): Long = stopRequestedAtMs?.let { (it + graceMs - nowMs).coerceAtLeast(0) } ?: 0
+    fun remainingGraceMs(nowMs: Long): Long = stopRequestedAtMs?.let { (it + shutdownSchedule.graceMs - nowMs).coerceAtLeast(0) } ?: 0
 
     /** Returns whether callers may send new requests to this daemon. */
     fun ready(nowMs: Long): Boolean = view != null && !leaving && !isolated(nowMs)
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -1,6 +1,7 @@
 package wigeonreel.standin
 
 import io.netty.channel.EventLoopGroup
+import wigeonreel.daemon.Clock
 import wigeonreel.daemon.monotonicClock
 import wigeonreel.http.HttpAddress
 import wigeonreel.http.HttpConnector
@@ -69,7 +70,11 @@
     val control: HttpAddress,
     val readiness: HttpAddress,
     val daemon: MeshDaemon,
-)
+    private val clock: Clock,
+) {
+    /** Shuts the daemon down and blocks until it has stopped. */
+    fun stop() = daemon.leaveAndStop(clock.nowMs())
+}
 
 /** Mesh daemons, their backend servers and a [TableStandin] in one process on the loopback address. */
 class MeshFleet(
@@ -111,14 +116,15 @@
                 retryRatio = 0.2,
             )
         val platform = sidecarPlatform({ service }) { ownLoop -> HttpTableService(HttpConnector(ownLoop), storeAddress, 1_000) }
-        val daemon = MeshDaemon(settings, platform, monotonicClock()) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
-        return FakeVm(server, callers, control, readiness, daemon)
+        val clock = monotonicClock()
+        val daemon = MeshDaemon(settings, platform, clock) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
+        return FakeVm(server, callers, control, readiness, daemon, clock)
     }
 
     private fun sendHeartbeat(vm: FakeVm) {
         val state = if (vm in draining) "draining" else "ready"
         val body =
-            """{"address":"${vm.server.address}","info":{"service":"${vm.server.service}","version":"v","zone":"z","slots":20},""" +
+            """{"address":"${vm.server.address}","info":{"service":"${vm.server.service}","version":"v","zone":"z","slots":$SLOTS},""" +
                 """"status":{"state":"$state","seq":${heartbeatSequence.incrementAndGet()},"coldLeftS":0},"born":1}"""
         val request = HttpRequest("POST", "/Instances.Heartbeat/i-${vm.server.address.port}", body = body.encodeToByteArray())
         connector.send(vm.control, request, 1_000) { }
@@ -165,8 +171,10 @@
         loop.shutdownGracefully()
     }
 
-    private companion object {
-        const val HEARTBEAT_INTERVAL_MS = 300L
+    companion object {
+        /** Slots of each server. */
+        const val SLOTS = 20
+        private const val HEARTBEAT_INTERVAL_MS = 300L
     }
 }
 
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
@@ -65,7 +65,7 @@
         }
         thread { slow.complete(fleet.call(front.callers, request("/view/slow"))) }
         fleet.await("the slow request runs") { front.server.received.any { it.uri == "/view/slow" } }
-        val stopped = thread { front.daemon.leaveAndStop() }
+        val stopped = thread { front.stop() }
         fleet.await("the daemon reports unready") {
             (fleet.call(front.readiness, HttpRequest("GET", "/ready")) as? HttpResult.Answer)?.response?.status ==
                 503
@@ -96,7 +96,7 @@
                 }
             }
         }
-        val stopped = thread { front.daemon.leaveAndStop() }
+        val stopped = thread { front.stop() }
         val answers = ConcurrentLinkedQueue<HttpResult>()
         while (stopped.isAlive) {
             fleet.callAsync(front.callers, request("/book/more")) { answers += it }
@@ -117,7 +117,7 @@
                 "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n".encodeToByteArray(),
             )
             expectThat(socket.getInputStream().read()).isEqualTo('H'.code)
-            val stopped = thread { front.daemon.leaveAndStop() }
+            val stopped = thread { front.stop() }
             // Without an open request the daemon ends after 2.5 s.
             stopped.join(4_000)
             expectThat(stopped.isAlive).isTrue()
