Handle SIGHUP and SIGTERM from the first instruction of the process on

Cause: the handlers were registered after the daemon had started; until then the JVM's default ends the process. SIGTERM in that time ended it without a shutdown, although its listeners were open already.

ProcessSignals registers both first. SIGHUP is remembered until the start is over. SIGTERM before the start prevents it; during the start it waits for it, and the shutdown counts from the signal. wigeonreeld, which ended on SIGHUP at any time, logs that its settings are read at the start only. SIGHUP between exec and main still ends the process: no JVM code runs there.

--- a/dist/src/main/kotlin/wigeonreel/dist/DaemonMain.kt
+++ b/dist/src/main/kotlin/wigeonreel/dist/DaemonMain.kt
@@ -6,17 +6,19 @@
 import wigeonreel.command.fail
 import wigeonreel.daemon.Daemon
 import wigeonreel.daemon.DaemonSettings
+import wigeonreel.daemon.ProcessSignals
+import wigeonreel.daemon.SYSTEM_CLOCK
 import wigeonreel.daemon.daemonSettings
 import wigeonreel.http.HttpConnector
 import wigeonreel.kernel.Log
 import wigeonreel.platform.HttpTableService
 import wigeonreel.settings.readSettings
 import java.nio.file.Path
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 /** Runs `wigeonreeld`. */
 fun main(args: Array<String>) {
+    val signals = ProcessSignals(SYSTEM_CLOCK)
     val parser = argParser("wigeonreeld", args)
     val settingsFile by parser.option(ArgType.String, fullName = "settings", shortName = "s", description = "Settings file (TOML)")
     val checkFile by parser.option(ArgType.String, fullName = "check-settings", description = "Check this settings file and exit")
@@ -30,12 +32,12 @@
         println("$file: settings are valid")
         exitProcess(ExitCode.OK.code)
     }
-    run(settings)
+    run(settings, signals)
 }
 
 private const val MAX_STORE_RESPONSE_BYTES = 16 * 1024 * 1024
 
-private fun run(settings: DaemonSettings) {
+private fun run(settings: DaemonSettings, signals: ProcessSignals) {
     Log.keepOpenDuringShutdown()
     System.setProperty("wigeonreel.log.level", if (settings.logDecisions) "debug" else "info")
     val storeLimits = settings.http.copy(maxBodyBytes = MAX_STORE_RESPONSE_BYTES)
@@ -43,14 +45,12 @@
         Daemon(settings, { loop ->
             HttpTableService(HttpConnector(loop, storeLimits), settings.platform.tableAddress, settings.platform.timeoutMs)
         })
-    runCatching { daemon.start() }.onFailure {
+    val stop = { _: Long ->
+        daemon.drainAndStop()
+        Log.close()
+    }
+    runCatching { signals.run(daemon::start, stop) }.onFailure {
         fail(ExitCode.FAILED, "wigeonreeld: can't start (${it.message}); check that the listen addresses are free")
     }
-    Runtime.getRuntime().addShutdownHook(Thread({ shutDown(daemon) }, "shutdown"))
-    CountDownLatch(1).await()
-}
-
-private fun shutDown(daemon: Daemon) {
-    daemon.drainAndStop()
-    Log.close()
+    signals.handleReloads { Log("daemon").warn("SIGHUP ignored: the settings are read at the start; restart the daemon to change them") }
 }
