Apply a changed grace period when the settings are reloaded

A reload took over the backend server only, so a daemon went on with the grace period that it had read at its start: after a change from 10 s to 6 s it would be killed with requests open.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -134,6 +134,11 @@
         kernel.stop()
     }
 
+    /** Changes the grace period between the request to stop and the end of the process, in milliseconds. */
+    fun changeGracePeriod(graceMs: Long) {
+        state.shutdownSchedule = ShutdownSchedule(graceMs)
+    }
+
     /** Logs that the settings were reloaded. */
     fun onSettingsChanged(detail: String) = events.changed("reload", detail)
 
