Take the time for which keys are valid without contact from the platform

A daemon without contact to store and peers accepted keys for 5 s on any deployment: the bound revokeS was not read. The start line tells the time in force. Found while listing what stands for each bound (docs/PLATFORM.md); SettingsTemplateTest checks that it is read.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -62,7 +62,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val log = kernel.register(EventLog())
     private val events = MeshEvents(log, registry, clock)
-    private val state = MeshState(ShutdownSchedule(settings.graceMs))
+    private val state = MeshState(ShutdownSchedule(settings.graceMs), settings.keysValidWithoutContactMs)
     private val router = Router(Random(incarnation))
     private val peers = PeerClients(traffic, settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES)
     private val backendConnector = HttpConnector(traffic, settings.http.copy(maxBodyBytes = settings.maxAnswerBytes))
@@ -108,7 +108,7 @@
         val inForce =
             with(
                 settings,
-            ) { "graceMs=$graceMs retryRatio=$retryRatio" }
+            ) { "graceMs=$graceMs keysValidWithoutContactMs=$keysValidWithoutContactMs retryRatio=$retryRatio" }
         events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} $inForce")
     }
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -6,9 +6,12 @@
 
 /**
  * State shared by the services of the traffic event loop; accessed only from that loop's thread, but for [shutdownSchedule].
+ *
+ * @param keysValidWithoutContactMs time without contact to the store or a peer after which keys are not accepted, in milliseconds.
  */
 class MeshState(
     shutdownSchedule: ShutdownSchedule,
+    private val keysValidWithoutContactMs: Long,
 ) {
     /** Times of a shutdown; replaced when the settings change, by any thread. */
     @Volatile
@@ -46,8 +49,8 @@
     /** Whether this daemon accepts no more requests because its process is about to end. */
     var closing = false
 
-    /** Returns whether keys can't be checked because there was no contact with the store or a peer for [ISOLATED_AFTER_MS]. */
-    fun isolated(nowMs: Long): Boolean = nowMs - lastContactAtMs > ISOLATED_AFTER_MS
+    /** Returns whether keys can't be checked because there was no contact with the store or a peer for too long. */
+    fun isolated(nowMs: Long): Boolean = nowMs - lastContactAtMs > keysValidWithoutContactMs
 
     /** Returns whether the backend server accepts new requests. */
     fun backendReady(nowMs: Long): Boolean = backend.ready && nowMs >= maxOf(backendDownUntilMs, departureReadDeadlineMs)
@@ -61,9 +64,4 @@
 
     /** Returns whether callers may send new requests to this daemon. */
     fun ready(nowMs: Long): Boolean = view != null && !leaving && !isolated(nowMs)
-
-    private companion object {
-        /** Withdrawn keys must be rejected within seconds, also by a daemon without any contact. */
-        const val ISOLATED_AFTER_MS = 5_000L
-    }
 }
--- a/standin/src/test/kotlin/wigeonreel/processes/SettingsTemplateTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SettingsTemplateTest.kt
@@ -53,12 +53,14 @@
                                 bounds(
                                     "graceS" to graceS,
                                     "retryBudgetRatio" to "0.35",
+                                    "revokeS" to "4",
                                 ),
                             ),
                         )
                     expectThat(settings).isNotNull().and {
                         get { mesh.graceMs }.isEqualTo((graceS.toDouble() * 1_000).toLong())
                         get { mesh.retryRatio }.isEqualTo(0.35)
+                        get { mesh.keysValidWithoutContactMs }.isEqualTo(4_000)
                         get { warnings }.isEmpty()
                     }
                 }
@@ -101,7 +103,7 @@
                 }
             }.plus(
                 DynamicTest.dynamicTest("no bounds at all") {
-                    expectThat(settings(JsonPrimitive(null as String?))).isNotNull().get { warnings }.hasSize(3)
+                    expectThat(settings(JsonPrimitive(null as String?))).isNotNull().get { warnings }.hasSize(4)
                 },
             )
 }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -113,6 +113,7 @@
                 http = HttpLimits(maxBodyBytes = 16_000_000),
                 maxAnswerBytes = 12_000_000,
                 graceMs = 6_000,
+                keysValidWithoutContactMs = 5_000,
                 retryRatio = 0.2,
             )
         val platform = sidecarPlatform({ service }) { ownLoop -> HttpTableService(HttpConnector(ownLoop), storeAddress, 1_000) }
