Send no queued request to a server after the platform's drain time

A request could reach a server later than drainS after its leaving was acknowledged: what was queued at the guard was sent whenever a slot became free.

The guard refuses what is still queued 100 ms before the drain time is over; the requests go to other servers. MeshLeaveTest fills a server with a drain time of 300 ms: before, 6 queued requests reached it 400 ms after the acknowledgement.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -108,7 +108,7 @@
         val inForce =
             with(
                 settings,
-            ) { "graceMs=$graceMs keysValidWithoutContactMs=$keysValidWithoutContactMs retryRatio=$retryRatio" }
+            ) { "graceMs=$graceMs drainMs=$drainMs keysValidWithoutContactMs=$keysValidWithoutContactMs retryRatio=$retryRatio" }
         events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} $inForce")
     }
 
@@ -213,6 +213,7 @@
             events.reported(report, outcome)
             if (report.state == BackendState.DRAINING && outcome != ReportOutcome.OUTDATED) record(report.instance, report.startedAtMs)
             if (outcome == ReportOutcome.NEW_SERVER) state.backendDownUntilMs = 0
+            updateDrain()
             if (outcome != ReportOutcome.OUTDATED) {
                 guard.onBackendReport(report, outcome == ReportOutcome.NEW_SERVER)
                 announce()
@@ -224,9 +225,20 @@
             val current = state.backend.leave(instance, startedAtMs, clock.nowMs())
             events.changed("backend-leaves", "instance=$instance current=$current")
             record(instance, startedAtMs)
+            updateDrain()
             if (current) announce()
         }
 
+        private fun updateDrain() {
+            val draining = state.backend.current?.state == BackendState.DRAINING
+            if (!draining) state.backendDrainedAtMs = Long.MAX_VALUE
+            if (draining &&
+                state.backendDrainedAtMs == Long.MAX_VALUE
+            ) {
+                state.backendDrainedAtMs = clock.nowMs() + settings.drainMs - DRAIN_MARGIN_MS
+            }
+        }
+
         private fun record(instance: String, startedAtMs: Long?) {
             if (instance == recordedInstance) return
             recordedInstance = instance
@@ -264,6 +276,9 @@
         const val FETCH_TIMEOUT_MS = 1_000L
         const val STOP_POLL_MS = 20L
 
+        /** Time for a request on its way to a draining server. */
+        const val DRAIN_MARGIN_MS = 100L
+
         /** Share of the fleet's retry ratio that daemons use; the rest is for retries that were attributed to the wrong request. */
         const val RETRY_RATIO_SHARE = 0.6
 
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshGuard.kt
@@ -86,8 +86,15 @@
         if (caller != null) attribution.onCallFinished(caller, usage.uses, nowMs)
     }
 
-    /** Refuses the queued requests that can no longer be served in time. Must be called every few tens of milliseconds. */
-    fun sweep(nowMs: Long) = currentQueue.shedLate(nowMs).forEach { requests[it]?.evict(Refusal.OVERLOADED) }
+    /**
+     * Refuses the queued requests that can no longer be served in time, and all if the server has left.
+     *
+     * Must be called every few tens of milliseconds.
+     */
+    fun sweep(nowMs: Long) {
+        currentQueue.shedLate(nowMs).forEach { requests[it]?.evict(Refusal.OVERLOADED) }
+        if (nowMs >= state.backendDrainedAtMs) currentQueue.clear().forEach { requests[it]?.evict(Refusal.NO_SERVER) }
+    }
 
     private inner class GuardedRequest(
         private val request: ForwardRequest,
@@ -146,7 +153,7 @@
             val nowMs = clock.nowMs()
             val server = state.backend.current
             val leftMs = deadlineMs - nowMs
-            if (server == null || queue !== currentQueue || leftMs <= 0) {
+            if (server == null || queue !== currentQueue || nowMs >= state.backendDrainedAtMs || leftMs <= 0) {
                 return complete(null) { refusalReply(request, if (leftMs <= 0) Refusal.DEADLINE_PASSED else Refusal.NO_SERVER) }
             }
             startedNs = System.nanoTime()
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
@@ -14,6 +14,7 @@
  * @param metrics address of the metrics endpoint.
  * @param maxAnswerBytes maximum size of a backend server's response that is relayed.
  * @param graceMs grace period between the request to stop and the end of the process, in milliseconds.
+ * @param drainMs time after the acknowledgement that the backend server leaves in which it may still receive requests, in milliseconds.
  * @param keysValidWithoutContactMs time without contact to the store or a peer after which keys are not accepted, in milliseconds.
  * @param retryRatio maximum ratio of retries to requests across the fleet.
  */
@@ -28,6 +29,7 @@
     val http: HttpLimits,
     val maxAnswerBytes: Int,
     val graceMs: Long,
+    val drainMs: Long,
     val keysValidWithoutContactMs: Long,
     val retryRatio: Double,
 )
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshState.kt
@@ -29,6 +29,9 @@
     /** Backend server on this daemon's VM. */
     val backend = BackendTracker()
 
+    /** Time from which the backend server gets no more of the requests that were queued when it announced its departure. */
+    var backendDrainedAtMs: Long = Long.MAX_VALUE
+
     /** Time until which the backend server gets no requests after it refused connections, in milliseconds. */
     var backendDownUntilMs: Long = 0
 
--- a/standin/src/test/kotlin/wigeonreel/processes/SettingsTemplateTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SettingsTemplateTest.kt
@@ -53,6 +53,7 @@
                                 bounds(
                                     "graceS" to graceS,
                                     "retryBudgetRatio" to "0.35",
+                                    "drainS" to "3",
                                     "revokeS" to "4",
                                 ),
                             ),
@@ -60,6 +61,7 @@
                     expectThat(settings).isNotNull().and {
                         get { mesh.graceMs }.isEqualTo((graceS.toDouble() * 1_000).toLong())
                         get { mesh.retryRatio }.isEqualTo(0.35)
+                        get { mesh.drainMs }.isEqualTo(3_000)
                         get { mesh.keysValidWithoutContactMs }.isEqualTo(4_000)
                         get { warnings }.isEmpty()
                     }
@@ -103,7 +105,7 @@
                 }
             }.plus(
                 DynamicTest.dynamicTest("no bounds at all") {
-                    expectThat(settings(JsonPrimitive(null as String?))).isNotNull().get { warnings }.hasSize(4)
+                    expectThat(settings(JsonPrimitive(null as String?))).isNotNull().get { warnings }.hasSize(5)
                 },
             )
 }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -79,6 +79,7 @@
 /** Mesh daemons, their backend servers and a [TableStandin] in one process on the loopback address. */
 class MeshFleet(
     services: List<String>,
+    private val drainMs: Long = 2_000,
 ) : AutoCloseable {
     private val loop = eventLoop("fakes")
     private val connector = HttpConnector(loop)
@@ -113,6 +114,7 @@
                 http = HttpLimits(maxBodyBytes = 16_000_000),
                 maxAnswerBytes = 12_000_000,
                 graceMs = 6_000,
+                drainMs = drainMs,
                 keysValidWithoutContactMs = 5_000,
                 retryRatio = 0.2,
             )
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshLeaveTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import wigeonreel.http.HttpExchange
 import wigeonreel.http.HttpHeader
 import wigeonreel.http.HttpRequest
 import wigeonreel.http.HttpResult
@@ -134,4 +135,34 @@
         repeat(30) { expectThat(status("/book/$it")).isEqualTo(200) }
         expectThat(back.server.received.size).isEqualTo(before)
     }
+
+    /** A request was sent to a server from its queue more than the platform's drain time after its leaving was acknowledged. */
+    @Test
+    fun `a request that was queued when its server left reaches it after the drain time`() {
+        MeshFleet(listOf("front", "back"), drainMs = 300).use { small ->
+            val (entry, server) = small.vms[0].callers to small.vms[1].server
+            small.configure(
+                """{"version":"1","routes":[{"name":"book","host":"h","prefix":"/book/","kind":"idempotent","timeoutS":4,""" +
+                    """"targetLatencyS":60,"priority":1,"service":"back","public":true}],"services":[{"name":"front"},{"name":"back"}]}""",
+            )
+            small.await("the fleet serves") { (small.call(entry, request("/book/1")) as? HttpResult.Answer)?.response?.status == 200 }
+            val held = ConcurrentLinkedQueue<HttpExchange>()
+            server.behaviour = { held += it }
+            val answers = ConcurrentLinkedQueue<HttpResult>()
+            repeat(REQUESTS) { small.callAsync(entry, request("/book/$it")) { answer -> answers += answer } }
+            // One slot is left for health probes.
+            small.await("the server is full") { held.size == MeshFleet.SLOTS - 1 }
+            val receivedBefore = server.received.size
+            small.drain(small.vms[1])
+            Thread.sleep(400)
+            held.forEach { it.respond(FakeServer.signed(it.request, 200, "done")) }
+            small.await("all requests end") { answers.size == REQUESTS }
+            expectThat(server.received.size).isEqualTo(receivedBefore)
+        }
+    }
+
+    private companion object {
+        /** More than a server takes at a time. */
+        const val REQUESTS = MeshFleet.SLOTS + 5
+    }
 }
