Keep an overdue attempt until another one has succeeded

Cause: an attempt whose answer was probably lost was cancelled before the next one was sent.

The overdue attempt keeps running and its reply counts; the first success ends the call and cancels the other attempt. A failure is the answer only when no attempt is left, or at the deadline. The number of servers and the retry budget are as before.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -65,8 +65,13 @@
         private var timer: Future<*>? = null
         private var attemptTimer: Future<*>? = null
 
-        /** Attempt whose reply counts; that of an attempt that was given up does not. */
         private var currentAttemptId = ""
+
+        /** Functions that cancel the attempts without a reply for which others were started, by id. Their replies still count. */
+        private val overdueAttempts = LinkedHashMap<String, () -> Unit>()
+
+        /** Result of the call if no overdue attempt succeeds. */
+        private var fallback: MeshResult? = null
         private var done = false
         private var serverAttempts = 0
         private var retryAfterMs = 0
@@ -92,16 +97,28 @@
         fun cancel() {
             if (done) return
             end()
-            cancelAttempt()
+            cancelAttempts()
         }
 
         fun timedOut() {
             if (done) return
             if (attemptPending) mayHaveRun = true
+            cancelOverdueAttempts()
             refuse(if (mayHaveRun) Refusal.TIMED_OUT else Refusal.DEADLINE_PASSED)
             cancelAttempt()
         }
 
+        private fun cancelAttempts() {
+            cancelOverdueAttempts()
+            cancelAttempt()
+        }
+
+        private fun cancelOverdueAttempts() {
+            val cancels = overdueAttempts.values.toList()
+            overdueAttempts.clear()
+            cancels.forEach { it() }
+        }
+
         private fun attemptNext(refusalIfNone: Refusal) {
             val view = state.view ?: return refuse(Refusal.ISOLATED)
             val nowMs = clock.nowMs()
@@ -150,16 +167,16 @@
                 else -> EarlierAttempts.MAY_HAVE_RUN
             }
 
-        /** Gives up an attempt of an idempotent call whose answer is probably lost, if the call may be retried. */
+        /** Starts another attempt of an idempotent call if the answer is probably lost and the call may be retried. */
         private fun startAttemptTimer(member: Member, nowMs: Long) {
             if (call.atMostOnce) return
             val load = router.offeredLoad(state.view?.candidatesOf(call.service).orEmpty(), nowMs)
             val timeoutMs = attemptTimeoutMs(router.serviceMs(member.id, call.route.name), load, call.deadlineMs - nowMs) ?: return
             attemptTimer?.cancel(false)
-            attemptTimer = loop.schedule({ giveUpAttempt(member) }, timeoutMs, TimeUnit.MILLISECONDS)
+            attemptTimer = loop.schedule({ onOverdue(member) }, timeoutMs, TimeUnit.MILLISECONDS)
         }
 
-        private fun giveUpAttempt(member: Member) {
+        private fun onOverdue(member: Member) {
             if (done || !attemptPending) return
             serverAttempts++
             if (!mayRetry()) {
@@ -168,8 +185,9 @@
             }
             mayHaveRun = true
             attemptPending = false
+            overdueAttempts[currentAttemptId] = cancelAttempt
             currentAttemptId = ""
-            cancelAttempt()
+            cancelAttempt = {}
             router.onOutcome(member.id, false, clock.nowMs())
             attemptNext(Refusal.TIMED_OUT)
         }
@@ -177,18 +195,32 @@
         private fun onReply(member: Member, message: ForwardRequest, reply: ForwardReply) {
             router.onReply(member.id, reply.inFlight, reply.limit, clock.nowMs())
             router.onReport(member.id, call.route.name, reply.serverReport())
-            if (done || message.attemptId != currentAttemptId) return
+            if (done) return
+            if (overdueAttempts.remove(message.attemptId) != null) return onOverdueReply(reply)
+            if (message.attemptId != currentAttemptId) return
             onAttemptEnded()
             recordUsage(reply)
             if (reply.attemptId != message.attemptId) return refuse(Refusal.ANSWER_LOST)
-            if (reply.outcome == Outcome.ANSWERED) {
-                val response = HttpResponse(reply.status, reply.headersList.toHttp(), reply.body.toByteArray())
-                return onAnswer(member, response, madeCalls = reply.callUsesCount > 0)
-            }
+            if (reply.outcome == Outcome.ANSWERED) return onAnswer(member, reply.response(), madeCalls = reply.callUsesCount > 0)
             retryAfterMs = if (retryAfterMs == 0) reply.retryAfterMs else minOf(retryAfterMs, reply.retryAfterMs)
             onRefused(reply.refusalKind, member)
         }
 
+        /** The answer came after all: it ends the call, and the attempt that took its place is cancelled. */
+        private fun onOverdueReply(reply: ForwardReply) {
+            if (reply.outcome != Outcome.ANSWERED || reply.status >= SERVER_ERROR) return onOverdueEnded()
+            recordUsage(reply)
+            finish(MeshResult.Answered(reply.response()))
+            cancelAttempts()
+        }
+
+        private fun onOverdueEnded() {
+            val result = fallback ?: return
+            if (overdueAttempts.isEmpty()) finish(result)
+        }
+
+        private fun ForwardReply.response() = HttpResponse(status, headersList.toHttp(), body.toByteArray())
+
         private fun ForwardReply.serverReport() = ServerReport(serviceMs.toDouble().takeIf { it > 0.0 }, offeredLoad.toDouble())
 
         private fun recordUsage(reply: ForwardReply) {
@@ -203,8 +235,12 @@
             serverAttempts++
             router.onOutcome(member.id, response.status < SERVER_ERROR, clock.nowMs())
             if (response.status >= SERVER_ERROR) mayHaveRun = true
-            if (response.status < SERVER_ERROR || madeCalls || !mayRetry()) return finish(MeshResult.Answered(response))
+            if (response.status < SERVER_ERROR) {
+                finish(MeshResult.Answered(response))
+                return cancelOverdueAttempts()
+            }
             failureResponse = response
+            if (madeCalls || !mayRetry()) return conclude(MeshResult.Answered(response))
             attemptNext(Refusal.ANSWER_LOST)
         }
 
@@ -227,7 +263,11 @@
         }
 
         private fun onNoReply(member: Member, message: ForwardRequest, cause: PeerFailure) {
-            if (done || message.attemptId != currentAttemptId) return router.onCancelled(member.id)
+            val overdue = overdueAttempts.remove(message.attemptId) != null
+            if (done || message.attemptId != currentAttemptId) {
+                router.onCancelled(member.id)
+                return if (overdue && !done) onOverdueEnded() else Unit
+            }
             onAttemptEnded()
             router.onFailure(member.id, clock.nowMs())
             onUnreachable(member.id)
@@ -251,12 +291,18 @@
         private fun refuse(refusal: Refusal) {
             val answer = failureResponse
             when {
-                answer != null -> finish(MeshResult.Answered(answer))
-                mayHaveRun && refusal.ran == Ran.NOT_RUN -> finish(MeshResult.Refused(Refusal.ANSWER_LOST, 0))
-                else -> finish(MeshResult.Refused(refusal, if (refusal.ran == Ran.NOT_RUN) retryAfterMs else 0))
+                answer != null -> conclude(MeshResult.Answered(answer))
+                mayHaveRun && refusal.ran == Ran.NOT_RUN -> conclude(MeshResult.Refused(Refusal.ANSWER_LOST, 0))
+                else -> conclude(MeshResult.Refused(refusal, if (refusal.ran == Ran.NOT_RUN) retryAfterMs else 0))
             }
         }
 
+        /** Ends the call without success, unless an overdue attempt may still succeed. */
+        private fun conclude(result: MeshResult) {
+            fallback = result
+            if (overdueAttempts.isEmpty()) finish(result)
+        }
+
         private fun finish(result: MeshResult) {
             if (done) return
             end()
