Count a caller's time from the head of its request

Cause: the deadline was counted from the end of the body, but a caller waits for X-Deadline-Ms from when it sends the head. The listener tells how long a request took to arrive, and the entry takes that off. The time-out of the route still counts from when the request is whole, since it is a time of waiting.

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshEntry.kt
@@ -48,7 +48,8 @@
     }
 
     private fun process(exchange: HttpExchange, request: CallerRequest, nowMs: Long) =
-        validate(request, nowMs).fold({ refuse(exchange, request, it, retryAfterMs(it, nowMs)) }, { admit(exchange, it) })
+        validate(request, exchange.receivingMs, nowMs)
+            .fold({ refuse(exchange, request, it, retryAfterMs(it, nowMs)) }, { admit(exchange, it) })
 
     /** A caller that knows no other daemon can retry once this one has been restarted. */
     private fun retryAfterMs(refusal: Refusal, nowMs: Long): Int =
@@ -68,13 +69,15 @@
         }
     }
 
-    private fun validate(request: CallerRequest, nowMs: Long): Either<Refusal, MeshCall> =
+    /** The caller waits for [CallerRequest.timeoutMs] from when it sends the head, which arrived [receivingMs] ago. */
+    private fun validate(request: CallerRequest, receivingMs: Long, nowMs: Long): Either<Refusal, MeshCall> =
         either {
             val view = ensureNotNull(state.view) { Refusal.ISOLATED }
             ensure(request.key == null || !state.isolated(nowMs)) { Refusal.ISOLATED }
             val route = ensureNotNull(view.configuration.routes.find(request.host, request.http.path)) { Refusal.ROUTE_UNKNOWN }
             val account = accountOf(request, route, view.configuration).bind()
-            val timeoutMs = minOf(request.timeoutMs ?: route.timeoutMs, route.timeoutMs)
+            val leftMs = request.timeoutMs?.let { (it - receivingMs).coerceAtLeast(0) } ?: route.timeoutMs
+            val timeoutMs = minOf(leftMs, route.timeoutMs)
             ensure(state.accepts(timeoutMs, nowMs)) { Refusal.DRAINING }
             val headers = protocol.headersFor(request, account)
             MeshCall(request, route, split.next(route), account, headers, account == null, nowMs, nowMs + timeoutMs)
--- a/http/src/main/kotlin/wigeonreel/http/HttpExchange.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpExchange.kt
@@ -4,6 +4,9 @@
 interface HttpExchange {
     val request: HttpRequest
 
+    /** Time from the arrival of the request's head until its body had arrived and it could be handled, in milliseconds. */
+    val receivingMs: Long
+
     /** Sends the response, then closes the connection if [close]; calls after the first are ignored. */
     fun respond(response: HttpResponse, close: Boolean = false)
 
--- a/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
@@ -47,12 +47,13 @@
     private fun initializer() =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(ch: SocketChannel) {
+                val aggregator = RequestAggregator(limits.maxBodyBytes, handler)
                 ch.pipeline().addLast(
                     IdleStateHandler(0, 0, limits.idleTimeoutMs, TimeUnit.MILLISECONDS),
                     HttpRequestDecoder(limits.maxRequestLineBytes, limits.maxHeaderBytes, CHUNK_BYTES),
                     HttpResponseEncoder(),
-                    RequestAggregator(limits.maxBodyBytes, handler),
-                    ServerConnection(handler, open),
+                    aggregator,
+                    ServerConnection(handler, open) { aggregator.headArrivedNs },
                 )
             }
         }
--- a/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
+++ b/http/src/main/kotlin/wigeonreel/http/ServerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -18,12 +19,22 @@
 import wigeonreel.kernel.Log
 import java.io.IOException
 import io.netty.handler.codec.http.HttpMessage as NettyHttpMessage
+import io.netty.handler.codec.http.HttpRequest as NettyHttpRequest
 
 /** Aggregates requests with a body of at most [maxBodyBytes] and answers larger ones as [HttpFault.BODY_TOO_LARGE]. */
 internal class RequestAggregator(
     maxBodyBytes: Int,
     private val handler: HttpHandler,
 ) : HttpObjectAggregator(maxBodyBytes) {
+    /** Time at which the head of the latest request arrived, in nanoseconds. */
+    var headArrivedNs = System.nanoTime()
+        private set
+
+    override fun decode(ctx: ChannelHandlerContext, message: HttpObject, out: MutableList<Any>) {
+        if (message is NettyHttpRequest) headArrivedNs = System.nanoTime()
+        super.decode(ctx, message, out)
+    }
+
     override fun handleOversizedMessage(ctx: ChannelHandlerContext, oversized: NettyHttpMessage) {
         ctx.writeAndFlush(toNetty(handler.reject(HttpFault.BODY_TOO_LARGE), close = true)).addListener(ChannelFutureListener.CLOSE)
     }
@@ -47,8 +58,14 @@
 internal class ServerConnection(
     private val handler: HttpHandler,
     private val open: OpenRequests,
+    private val headArrivedNs: () -> Long,
 ) : SimpleChannelInboundHandler<FullHttpRequest>(false) {
-    private val queued = ArrayDeque<FullHttpRequest>()
+    private class Queued(
+        val message: FullHttpRequest,
+        val headArrivedNs: Long,
+    )
+
+    private val queued = ArrayDeque<Queued>()
     private var current: Exchange? = null
 
     /** Whether the last response is being written; the connection is closed after it. */
@@ -64,12 +81,12 @@
             ctx.close()
             return
         }
-        queued.addLast(message)
+        queued.addLast(Queued(message, headArrivedNs()))
         startNext(ctx)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        queued.forEach { ReferenceCountUtil.release(it) }
+        queued.forEach { ReferenceCountUtil.release(it.message) }
         queued.clear()
         current?.abort()
         current = null
@@ -93,8 +110,10 @@
 
     private fun startNext(ctx: ChannelHandlerContext) {
         if (current != null) return
-        val message = queued.removeFirstOrNull() ?: return
-        val exchange = Exchange(ctx, message.toRequest(), HttpUtil.isKeepAlive(message))
+        val next = queued.removeFirstOrNull() ?: return
+        val message = next.message
+        val receivingMs = (System.nanoTime() - next.headArrivedNs) / NS_PER_MS
+        val exchange = Exchange(ctx, message.toRequest(), receivingMs, HttpUtil.isKeepAlive(message))
         val fault = faultOf(message)
         message.release()
         current = exchange
@@ -114,6 +133,7 @@
     private inner class Exchange(
         private val ctx: ChannelHandlerContext,
         override val request: HttpRequest,
+        override val receivingMs: Long,
         private val keepAlive: Boolean,
     ) : HttpExchange {
         private var answered = false
@@ -144,6 +164,7 @@
 
     private companion object {
         const val MAX_PIPELINED = 16
+        const val NS_PER_MS = 1_000_000L
         val log = Log("http")
     }
 }
