Return a server's own late failure instead of another server's refusal

Cause: since the overdue attempt goes on, its late 500 was dropped as no success; the other server then refused, and a refusal after a run is answered 502. Evidence: the daemon's log, `nowhere candidates=2 ejected=2` for the second attempt and 5 ms later `answer-lost`. The failure is kept now and goes before a refusal, whichever comes first.

MeshSlowAnswerTest "a slow failure is replaced because the next server refuses": both cases failed before (502). Test fleets take their ports from below the range for outgoing connections: five fleets in one process met "Address already in use".

--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -206,9 +206,13 @@
             onRefused(reply.refusalKind, member)
         }
 
-        /** The answer came after all: it ends the call, and the attempt that took its place is cancelled. */
+        /** A success ends the call, and the attempt that took the place of this one is cancelled; a failure counts if no attempt succeeds. */
         private fun onOverdueReply(reply: ForwardReply) {
-            if (reply.outcome != Outcome.ANSWERED || reply.status >= SERVER_ERROR) return onOverdueEnded()
+            if (reply.outcome != Outcome.ANSWERED) return onOverdueEnded()
+            if (reply.status >= SERVER_ERROR) {
+                failureResponse = reply.response()
+                return onOverdueEnded()
+            }
             recordUsage(reply)
             finish(MeshResult.Answered(reply.response()))
             cancelAttempts()
@@ -216,7 +220,7 @@
 
         private fun onOverdueEnded() {
             val result = fallback ?: return
-            if (overdueAttempts.isEmpty()) finish(result)
+            if (overdueAttempts.isEmpty()) finish(failureResponse?.let { MeshResult.Answered(it) } ?: result)
         }
 
         private fun ForwardReply.response() = HttpResponse(status, headersList.toHttp(), body.toByteArray())
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -181,4 +181,9 @@
     }
 }
 
-internal fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+/** Next port to try; below the range from which the system takes ports for outgoing connections. */
+private val nextPort = AtomicInteger(12_000 + (ProcessHandle.current().pid() % 400).toInt() * 40)
+
+internal fun freePort(): Int =
+    generateSequence { nextPort.getAndIncrement() }
+        .first { port -> runCatching { ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close() }.isSuccess }
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshSlowAnswerTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshSlowAnswerTest.kt
@@ -38,38 +38,55 @@
         val answer: (HttpExchange) -> Unit,
     )
 
+    /** The other server's refusal came before the first server's own failure, or after it. */
+    private val refusing = OtherServer("refuses") { it.respond(HttpResponse(503, idOf(it) + HttpHeader("X-Not-Executed", "1"))) }
+    private val refusingLater =
+        OtherServer("refuses later") { exchange ->
+            thread {
+                Thread.sleep(LATE_ANSWER_MS)
+                refusing.answer(exchange)
+            }
+        }
+
     /** The first server was still at work, but its request was cancelled, and the failure of the other one became the answer. */
     @TestFactory
     fun `a slow answer is lost because the next server fails`() =
         listOf(
-            OtherServer("refuses") { it.respond(HttpResponse(503, idOf(it) + HttpHeader("X-Not-Executed", "1"))) },
+            refusing,
             OtherServer("fails") { it.respond(FakeServer.signed(it.request, 500, "failed")) },
             OtherServer("never answers") { },
-        ).map { other ->
-            DynamicTest.dynamicTest("the other server ${other.name}") {
-                MeshFleet(listOf("front", "back", "back")).use { fleet ->
-                    fleet.settle()
-                    val runs = AtomicInteger()
-                    fleet.vms.drop(1).forEach { vm ->
-                        vm.server.behaviour =
-                            { exchange -> if (runs.incrementAndGet() > 1) other.answer(exchange) else answerLate(exchange) }
-                    }
-                    expectThat(fleet.send()).isEqualTo(OK)
-                    expectThat(runs.get()).isEqualTo(2)
+        ).map { statusOfLateAnswer(OK, it) }
+
+    /** The other server's refusal became 502 outcome unknown in place of the first server's own answer (soak seed 951). */
+    @TestFactory
+    fun `a slow failure is replaced because the next server refuses`() =
+        listOf(refusing, refusingLater).map { statusOfLateAnswer(FAILED, it) }
+
+    /** Checks that the late answer of the first server reaches the caller with its [status]. */
+    private fun statusOfLateAnswer(status: Int, other: OtherServer) =
+        DynamicTest.dynamicTest("the other server ${other.name}") {
+            MeshFleet(listOf("front", "back", "back")).use { fleet ->
+                fleet.settle()
+                val runs = AtomicInteger()
+                fleet.vms.drop(1).forEach { vm ->
+                    vm.server.behaviour = { if (runs.incrementAndGet() > 1) other.answer(it) else answerLate(it, status) }
                 }
+                expectThat(fleet.send()).isEqualTo(status)
+                expectThat(runs.get()).isEqualTo(2)
             }
         }
 
     private fun idOf(exchange: HttpExchange) = listOf(HttpHeader("X-Attempt-Id", exchange.request.header("X-Attempt-Id").orEmpty()))
 
-    private fun answerLate(exchange: HttpExchange) =
+    private fun answerLate(exchange: HttpExchange, status: Int) =
         thread {
             Thread.sleep(LATE_ANSWER_MS)
-            exchange.respond(FakeServer.signed(exchange.request, OK, "late"))
+            exchange.respond(FakeServer.signed(exchange.request, status, "late"))
         }
 
     private companion object {
         const val OK = 200
+        const val FAILED = 500
 
         /** Between the time at which another server is asked and the request's deadline. */
         const val LATE_ANSWER_MS = 1_500L
