Read the grace period after the shutdown is noted; run test daemons with SIGHUP at its default

The settings file is read once more at SIGTERM after the daemon has become unready, not before. The daemons of tests and soaks start with the default now, and ProcessSignalsTest calls what the handler calls; StartSignalsTest sends the signal, and checks that a reload applies a new grace period.

--- a/daemon/src/main/kotlin/wigeonreel/daemon/ProcessSignals.kt
+++ b/daemon/src/main/kotlin/wigeonreel/daemon/ProcessSignals.kt
@@ -17,7 +17,7 @@
     private var stopDaemon: ((requestedAtMs: Long) -> Unit)? = null
 
     init {
-        Signal.handle(Signal("HUP")) { reloads.release() }
+        Signal.handle(Signal("HUP")) { requestReload() }
         Runtime.getRuntime().addShutdownHook(Thread(::shutDown, "shutdown"))
     }
 
@@ -26,12 +26,13 @@
      *
      * [stop] is called with the time of the request to stop, in milliseconds, and blocks until the daemon has stopped.
      */
-    fun run(start: () -> Unit, stop: (requestedAtMs: Long) -> Unit) =
+    fun run(start: () -> Unit, stop: (requestedAtMs: Long) -> Unit) {
         synchronized(lock) {
             if (stopping) return
             start()
             stopDaemon = stop
         }
+    }
 
     /** Calls [reload] after each SIGHUP, also after one that came before this call. Several in a row may cause a single call. */
     fun handleReloads(reload: () -> Unit): Nothing {
@@ -42,6 +43,8 @@
         }
     }
 
+    internal fun requestReload() = reloads.release()
+
     internal fun shutDown() {
         val requestedAtMs = clock.nowMs()
         synchronized(lock) {
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -105,11 +105,7 @@
         kernel.start()
         control.execute { departures.read { departure -> traffic.execute { onDepartureRead(departure) } } }
         traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        val inForce =
-            with(
-                settings,
-            ) { "graceMs=$graceMs drainMs=$drainMs keysValidWithoutContactMs=$keysValidWithoutContactMs retryRatio=$retryRatio" }
-        events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} $inForce")
+        events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} ${settings.boundsText}")
     }
 
     /**
@@ -118,11 +114,13 @@
      * Notifies callers first and peers later, and serves requests until none is open or the grace period ends.
      *
      * @param requestedAtMs time of the request to stop, in milliseconds.
+     * @param readGraceMs returns the grace period if it may have changed, in milliseconds.
      */
-    fun leaveAndStop(requestedAtMs: Long) {
-        val schedule = state.shutdownSchedule
+    fun leaveAndStop(requestedAtMs: Long, readGraceMs: () -> Long? = { null }) {
         traffic.execute { state.stopRequestedAtMs = requestedAtMs }
         events.changed("stop", "leaving afterMs=${clock.nowMs() - requestedAtMs}")
+        readGraceMs()?.let { changeGracePeriod(it) }
+        val schedule = state.shutdownSchedule
         awaitStage(requestedAtMs, ShutdownStage.PEERS_NOTIFIED)
         control.execute { fleet.leave(MemberState.LEAVING) }
         awaitStage(requestedAtMs, ShutdownStage.DONE)
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSender.kt
@@ -196,7 +196,7 @@
             router.onReply(member.id, reply.inFlight, reply.limit, clock.nowMs())
             router.onReport(member.id, call.route.name, reply.serverReport())
             if (done) return
-            if (overdueAttempts.remove(message.attemptId) != null) return onOverdueReply(reply)
+            if (overdueAttempts.remove(message.attemptId) != null) return onOverdueReply(message, reply)
             if (message.attemptId != currentAttemptId) return
             onAttemptEnded()
             recordUsage(reply)
@@ -207,8 +207,8 @@
         }
 
         /** A success ends the call, and the attempt that took the place of this one is cancelled; a failure counts if no attempt succeeds. */
-        private fun onOverdueReply(reply: ForwardReply) {
-            if (reply.outcome != Outcome.ANSWERED) return onOverdueEnded()
+        private fun onOverdueReply(message: ForwardRequest, reply: ForwardReply) {
+            if (reply.attemptId != message.attemptId || reply.outcome != Outcome.ANSWERED) return onOverdueEnded()
             if (reply.status >= SERVER_ERROR) {
                 failureResponse = reply.response()
                 return onOverdueEnded()
@@ -267,10 +267,10 @@
         }
 
         private fun onNoReply(member: Member, message: ForwardRequest, cause: PeerFailure) {
-            val overdue = overdueAttempts.remove(message.attemptId) != null
             if (done || message.attemptId != currentAttemptId) {
                 router.onCancelled(member.id)
-                return if (overdue && !done) onOverdueEnded() else Unit
+                if (overdueAttempts.remove(message.attemptId) != null) onOverdueEnded()
+                return
             }
             onAttemptEnded()
             router.onFailure(member.id, clock.nowMs())
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshSettings.kt
@@ -32,4 +32,8 @@
     val drainMs: Long,
     val keysValidWithoutContactMs: Long,
     val retryRatio: Double,
-)
+) {
+    /** Bounds of the platform that are in force, for the log. */
+    val boundsText: String
+        get() = "graceMs=$graceMs drainMs=$drainMs keysValidWithoutContactMs=$keysValidWithoutContactMs retryRatio=$retryRatio"
+}
--- a/daemon/src/test/kotlin/wigeonreel/daemon/ProcessSignalsTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/daemon/ProcessSignalsTest.kt
@@ -6,7 +6,6 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
-import sun.misc.Signal
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Semaphore
@@ -18,10 +17,10 @@
     private val nowMs = AtomicLong(1_000)
     private val signals = ProcessSignals({ nowMs.get() })
 
-    /** SIGHUP ended a process that had not registered its handler yet. */
+    /** SIGHUP that came before the start was over was lost. The signal itself is sent by StartSignalsTest. */
     @Test
-    fun `SIGHUP during the start is lost`() {
-        Signal.raise(Signal("HUP"))
+    fun `a reload that is requested during the start is lost`() {
+        signals.requestReload()
         val reloads = Semaphore(0)
         thread(isDaemon = true) { signals.handleReloads { reloads.release() } }
         expectThat(reloads.tryAcquire(10, TimeUnit.SECONDS)).isTrue()
--- a/standin/src/test/kotlin/wigeonreel/processes/DaemonProcess.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/DaemonProcess.kt
@@ -49,7 +49,8 @@
 
     fun start() {
         placeSettings()
-        val builder = ProcessBuilder(RUN.find(File(root, "deploy/system.toml").readText())!!.groupValues[1].split(' '))
+        val command = RUN.find(File(root, "deploy/system.toml").readText())!!.groupValues[1].split(' ')
+        val builder = ProcessBuilder(WITH_DEFAULT_SIGNALS + command)
         builder.directory(root)
         builder.environment().keys.retainAll(INHERITED_VARIABLES)
         builder.environment()["WIGEONREEL_BOOT"] = settingsFile.path
@@ -127,6 +128,9 @@
     companion object {
         /** Ports are the same on all VMs, each of which has an address of its own. */
         const val BASE_PORT = 21_000
+
+        /** A run under nohup ignores SIGHUP, and its child processes would too. */
+        val WITH_DEFAULT_SIGNALS = listOf("env", "--default-signal=HUP")
         private const val OK = 200
         private const val READY_TIMEOUT_MS = 500
         private val RUN = Regex("(?m)^run = \"([^\"]*)\"")
--- a/standin/src/test/kotlin/wigeonreel/processes/StartSignalsTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/StartSignalsTest.kt
@@ -28,7 +28,8 @@
 
     private fun start(): Process {
         val java = File(System.getProperty("java.home"), "bin/java").path
-        val builder = ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "wigeonreel.platform.MainKt")
+        val command = listOf(java, "-cp", System.getProperty("java.class.path"), "wigeonreel.platform.MainKt")
+        val builder = ProcessBuilder(DaemonProcess.WITH_DEFAULT_SIGNALS + command)
         builder.environment()["WIGEONREEL_BOOT"] = pipe.path
         return builder
             .redirectErrorStream(true)
@@ -44,9 +45,9 @@
         return opened.get(TIMEOUT_S, TimeUnit.SECONDS)
     }
 
-    private fun settings(): ByteArray {
+    private fun settings(graceS: Int = 6): ByteArray {
         val ip = "127.220.${ProcessHandle.current().pid() / 250 % 250}.${1 + ProcessHandle.current().pid() % 250}"
-        val daemon = DaemonProcess("vm", ip, "z", "r", "s", "$ip:7", root, work)
+        val daemon = DaemonProcess("vm", ip, "z", "r", "s", "$ip:7", root, work, DaemonProcess.BOUNDS + ("graceS" to "$graceS"))
         return renderTemplate(File(root, "deploy/settings.toml").readText(), daemon.fields()).encodeToByteArray()
     }
 
@@ -57,15 +58,16 @@
     }
 
     @Test
-    fun `SIGHUP ends a daemon that is starting`() {
+    fun `SIGHUP ends a daemon that is starting, or its new grace period is ignored`() {
         val daemon = start()
         awaitReader().use {
             ProcessBuilder("kill", "-HUP", daemon.pid().toString()).start().waitFor()
             it.write(settings())
         }
         awaitLogged("\"event\":\"start\"")
-        awaitReader().use { it.write(settings()) }
+        awaitReader().use { it.write(settings(graceS = 9)) }
         awaitLogged("\"event\":\"reload\"")
+        awaitLogged("graceMs=9000")
         expectThat(daemon.isAlive).isTrue()
     }
 
