--- a/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/ProcessSoak.kt
@@ -15,10 +15,10 @@
  */
 class ProcessSoak(
     private val plan: SoakPlan,
-    private val seed: Long,
+    seed: Long,
     net: Int,
-    private val root: File,
-    private val directory: File,
+    root: File,
+    directory: File,
 ) : AutoCloseable {
     private val bounds = Bounds(graceMs = plan.graceS * MS_PER_SECOND)
     private val shape =
--- a/standin/src/test/kotlin/wigeonreel/processes/ShutdownSweep.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/ShutdownSweep.kt
@@ -54,17 +54,8 @@
             else -> Work(graceMs * LONG_WORK_SHARE, emptyList())
         }
 
-    private fun configuration(version: Int): String {
-        val routeTexts =
-            routes.map {
-                val kind = if (it.idempotent) "idempotent" else "non_idempotent"
-                """{"name":"${it.name}","host":"${Caller.HOST}","prefix":"/${it.name}/","kind":"$kind",""" +
-                    """"timeoutS":${it.timeoutMs / 1_000.0},"targetLatencyS":1.5,"priority":1,"service":"${it.service}","attempts":2,"public":true}"""
-            }
-        val serviceTexts = SERVICES.distinct().map { """{"name":"$it","healthPath":"/health"}""" }
-        return """{"version":"${version.toString(16).padStart(8, '0')}","routes":[${routeTexts.joinToString()}],""" +
-            """"services":[${serviceTexts.joinToString()}],"tenants":[]}"""
-    }
+    private fun configuration(version: Int) =
+        SoakShape.operatorDocument(version, routes, SERVICES.distinct(), priority = 1, accounts = emptyList())
 
     /** Plays the run and returns the violations. */
     fun play(): List<Violation> {
--- a/standin/src/test/kotlin/wigeonreel/processes/SoakShape.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SoakShape.kt
@@ -33,15 +33,31 @@
 
     /** Configuration document as the operator writes it. */
     fun configuration(version: Int): String {
+        val accounts =
+            List(ACCOUNTS) { """{"name":"account$it","apiKeys":["key$it","spare$version"],"priority":1,"ratePerS":400,"burst":400}""" }
+        return operatorDocument(version, routes, services, priority = version % 3, accounts)
+    }
+
+    /**
+     * Operators' document with the given routes and services.
+     *
+     * @param priority priority of all routes.
+     * @param accounts client accounts as JSON objects.
+     */
+    fun operatorDocument(
+        version: Int,
+        routes: List<Route>,
+        services: List<String>,
+        priority: Int,
+        accounts: List<String>,
+    ): String {
         val routeTexts =
             routes.map {
                 val kind = if (it.idempotent) "idempotent" else "non_idempotent"
                 """{"name":"${it.name}","host":"${Caller.HOST}","prefix":"/${it.name}/","kind":"$kind",""" +
-                    """"timeoutS":${it.timeoutMs / 1_000.0},"targetLatencyS":1.5,"priority":${version % 3},""" +
+                    """"timeoutS":${it.timeoutMs / 1_000.0},"targetLatencyS":1.5,"priority":$priority,""" +
                     """"service":"${it.service}","attempts":2,"public":${it.open}}"""
             }
-        val accounts =
-            List(ACCOUNTS) { """{"name":"account$it","apiKeys":["key$it","spare$version"],"priority":1,"ratePerS":400,"burst":400}""" }
         val serviceTexts = services.map { """{"name":"$it","healthPath":"/health"}""" }
         return """{"version":"${version.toString(16).padStart(8, '0')}","routes":[${routeTexts.joinToString()}],""" +
             """"services":[${serviceTexts.joinToString()}],"tenants":[${accounts.joinToString()}]}"""
