--- a/review/standin-2/Case6.java
+++ b/review/standin-2/Case7.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.Future;
 
 /** Uploads pile up in a daemon while its server is slow; afterwards the daemon has to answer again. */
-final class Case6 {
+final class Case7 {
     private static final int UPLOADS_PER_S = 28;
     private static final int UPLOAD_BYTES = 1_000_000;
     private static final int WORK_MS = 140;
@@ -18,11 +18,11 @@
     /** Clients that send lookups all the while, with a pause of 0.2 s after each answer. */
     private static final int READERS = 20;
 
-    private Case6() {
+    private Case7() {
     }
 
     public static void main(String[] args) throws Exception {
-        Fleet.main(args, Case6::play);
+        Fleet.main(args, Case7::play);
     }
 
     private static int play(Fleet fleet, boolean trouble) throws Exception {
