--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -16,6 +17,9 @@
     /** Entry point of one machine. */
     final class Door {
         volatile Mode mode = Mode.SERVE;
+
+        /** Number of watches that are open at this door. */
+        final AtomicInteger watches = new AtomicInteger();
         final Http.Server server;
 
         Door() throws IOException {
@@ -71,7 +75,12 @@
             case "/rows-get":
                 return get(request);
             case "/rows-feed":
-                return feed(request, door);
+                door.watches.incrementAndGet();
+                try {
+                    return feed(request, door);
+                } finally {
+                    door.watches.decrementAndGet();
+                }
             case "/rows-tx":
                 return transact(request);
             default:
