--- a/review/standin-2/Case6.java
+++ b/review/standin-2/Case6.java
@@ -13,7 +13,7 @@
 
 /** Servers answer uploads before they have read them, without a length; a faulty one breaks off some answers with a reset. */
 final class Case6 {
-    private static final int UPLOADS = 60;
+    private static final int UPLOADS = 120;
     private static final int UPLOAD_BYTES = 6_000_000;
     private static final int ANSWER_BYTES = 30_000;
     private static final int READ_FIRST_BYTES = 1_000;
@@ -127,7 +127,7 @@
                     if (lower.startsWith("content-length:")) length = Integer.parseInt(line.substring("content-length:".length()).trim());
                 }
                 in.readNBytes(READ_FIRST_BYTES);
-                boolean breaksOff = faulty && answers.incrementAndGet() % BROKEN_ONE_IN == 0;
+                boolean breaksOff = faulty && answers.incrementAndGet() % BROKEN_ONE_IN == BROKEN_ONE_IN / 2;
                 record.line(id, "runs " + attempt + " with a body of " + length + " bytes, answers after " + READ_FIRST_BYTES + " of them");
                 OutputStream out = socket.getOutputStream();
                 out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Signature: sig." + id + "." + attempt + "\r\n\r\n")
--- a/review/standin-2/Daemon.java
+++ b/review/standin-2/Daemon.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,6 +22,12 @@
         + "\"revokeS\":5,\"retryBudgetRatio\":0.2,\"budgetWindowS\":10,\"budgetSlack\":48,\"quotaWindowS\":5,\"quotaOverage\":0.1,"
         + "\"quotaSlack\":20,\"recoveryS\":15}";
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int WINDOWS = 60;
+    private static final int WINDOW_PORTS = 200;
+    private static ServerSocket window;
+    private static int nextPort;
+
     final String name;
     final int outbound;
     final int control;
@@ -157,22 +164,45 @@
         process.waitFor(10, TimeUnit.SECONDS);
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(Http.HOST))) {
-            return socket.getLocalPort();
+    /** Returns a port of this script's window that is free for TCP and UDP and was not returned before. */
+    private static synchronized int freePort() throws IOException {
+        if (window == null) window = reserveWindow();
+        while (nextPort < window.getLocalPort() + WINDOW_PORTS) {
+            int port = nextPort++;
+            if (isFree(port)) return port;
         }
+        throw new IOException("no free port is left in the window");
+    }
+
+    /** Returns a free port whose successor is free too. */
+    private static synchronized int freePortPair() throws IOException {
+        int port = freePort();
+        for (int next = freePort(); next != port + 1; next = freePort()) port = next;
+        return port;
     }
 
-    /** Returns a port that is free for TCP and UDP, and whose successor is free for TCP. */
-    private static int freePortPair() throws IOException {
-        while (true) {
-            int port = freePort();
-            try (ServerSocket next = new ServerSocket(port + 1, 1, InetAddress.getByName(Http.HOST));
-                DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName(Http.HOST))) {
-                return port;
+    /** Reserves a window of ports below those of outgoing connections by its first port, so that two scripts never share one. */
+    private static ServerSocket reserveWindow() throws IOException {
+        int first = ThreadLocalRandom.current().nextInt(WINDOWS);
+        for (int i = 0; i < WINDOWS; i++) {
+            int port = FIRST_PORT + (first + i) % WINDOWS * WINDOW_PORTS;
+            try {
+                ServerSocket reserved = new ServerSocket(port, 1, InetAddress.getByName(Http.HOST));
+                nextPort = port + 1;
+                return reserved;
             } catch (IOException taken) {
-                // Another process uses one of the two ports; try the next pair.
+                // Another script has this window; try the next one.
             }
         }
+        throw new IOException("no window of ports is free");
+    }
+
+    private static boolean isFree(int port) throws IOException {
+        try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getByName(Http.HOST));
+            DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName(Http.HOST))) {
+            return true;
+        } catch (IOException taken) {
+            return false;
+        }
     }
 }
