--- a/review/standin-3/AppServer.java
+++ b/review/standin-3/AppServer.java
@@ -55,12 +55,15 @@
         return sendHeartbeat();
     }
 
-    /** Tells the daemon that this server leaves; returns whether that was acknowledged. */
-    boolean deregister() {
+    /** Tells the daemon that this server leaves; calls [onAnswer] at once if that was acknowledged, and returns whether it was. */
+    boolean deregister(Runnable onAnswer) {
         try {
             byte[] body = Json.write(Map.of("born", bornMs)).getBytes(StandardCharsets.UTF_8);
             int status = post("/Instances.Deregister/" + id, body);
-            recorder.write("server " + id + ": deregisters, answered " + status);
+            long answeredNs = System.nanoTime();
+            if (status / 100 == 2) onAnswer.run();
+            long doneNs = System.nanoTime();
+            recorder.write("server " + id + ": deregistered, answered " + status + "; what follows took " + (doneNs - answeredNs) / 1_000 + " us");
             return status / 100 == 2;
         } catch (IOException failed) {
             recorder.write("server " + id + ": deregister not answered (" + failed.getMessage() + ")");
--- a/review/standin-3/Fleet.java
+++ b/review/standin-3/Fleet.java
@@ -66,10 +66,14 @@
         }
 
         /** Ends the process with SIGKILL. */
-        void kill() throws InterruptedException {
+        void kill() {
             process.destroyForcibly();
-            recorder.write("daemon " + name + ": SIGKILL sent");
+        }
+
+        /** Waits for the end of the process. */
+        void awaitEnd() throws InterruptedException {
             process.waitFor();
+            recorder.write("daemon " + name + ": has ended");
         }
 
         /** Sends SIGTERM. */
