--- a/review/standin-3/AppServer.java
+++ b/review/standin-3/AppServer.java
@@ -31,8 +31,12 @@
     private final AtomicInteger sequence = new AtomicInteger();
     private volatile String state = "ready";
     private volatile boolean ended;
+    private volatile boolean silent;
     private volatile long beatAtMs = -HEARTBEAT_MS;
 
+    /** Size of each answer, 0 for a short text. */
+    volatile int answerBytes;
+
     /** Time of work on each request, in milliseconds. */
     volatile int workMs = 5;
 
@@ -55,15 +59,36 @@
         return sendHeartbeat();
     }
 
-    /** Tells the daemon that this server leaves; calls [onAnswer] at once if that was acknowledged, and returns whether it was. */
-    boolean deregister(Runnable onAnswer) {
+    /** Sends no more heartbeats. */
+    void stopHeartbeats() {
+        silent = true;
+    }
+
+    /** Returns a heartbeat that is sent now and arrives when [deliver] is called with it. */
+    byte[] sendLateHeartbeat() {
+        int number = nextSequence();
+        recorder.write("server " + id + ": heartbeat seq=" + number + " state=" + state + " is sent and held up on its way");
+        return Json.write(heartbeat(state, number)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Delivers a heartbeat that was held up; repeats this until the daemon listens. */
+    void deliver(byte[] heartbeat) {
+        while (!ended) {
+            try {
+                int status = post("/Instances.Heartbeat/" + id, heartbeat);
+                recorder.write("server " + id + ": the heartbeat that was held up arrives, answered " + status);
+                return;
+            } catch (IOException notListening) {
+                Threads.sleep(50);
+            }
+        }
+    }
+
+    /** Tells the daemon that this server leaves; returns whether that was acknowledged. */
+    boolean deregister() {
         try {
-            byte[] body = Json.write(Map.of("born", bornMs)).getBytes(StandardCharsets.UTF_8);
-            int status = post("/Instances.Deregister/" + id, body);
-            long answeredNs = System.nanoTime();
-            if (status / 100 == 2) onAnswer.run();
-            long doneNs = System.nanoTime();
-            recorder.write("server " + id + ": deregistered, answered " + status + "; what follows took " + (doneNs - answeredNs) / 1_000 + " us");
+            int status = post("/Instances.Deregister/" + id, Json.write(Map.of("born", bornMs)).getBytes(StandardCharsets.UTF_8));
+            recorder.write("server " + id + ": deregisters, answered " + status);
             return status / 100 == 2;
         } catch (IOException failed) {
             recorder.write("server " + id + ": deregister not answered (" + failed.getMessage() + ")");
@@ -126,7 +151,7 @@
 
     private void beat() {
         while (!ended) {
-            if (recorder.nowMs() >= beatAtMs + HEARTBEAT_MS) sendHeartbeat();
+            if (!silent && recorder.nowMs() >= beatAtMs + HEARTBEAT_MS) sendHeartbeat();
             Threads.sleep(20);
         }
     }
@@ -175,7 +200,7 @@
         runs.add(new Run(attempt, service, path, request.fields.get("X-Tenant"), request.fields.get("X-Caller-Service"), recorder.nowMs()));
         recorder.write("server " + id + " (" + service + "): runs " + attempt + " " + path + " tenant=" + request.fields.get("X-Tenant"));
         Threads.sleep(workMs);
-        byte[] body = ("done by " + service + " " + id).getBytes(StandardCharsets.UTF_8);
+        byte[] body = answerBytes > 0 ? new byte[answerBytes] : ("done by " + service + " " + id).getBytes(StandardCharsets.UTF_8);
         fields.put("X-Attempt-Id", attempt);
         fields.put("X-Response-Signature", "sig." + attempt);
         fields.put("Keep-Alive", "timeout=10");
--- a/review/standin-3/ForeignHeartbeatCase.java
+++ b/review/standin-3/ForeignHeartbeatCase.java
@@ -50,7 +50,7 @@
         if (trouble) sendForeignHeartbeat(drained);
         // The server serves a little longer than drainS after the acknowledgement.
         Threads.sleep(800);
-        drained.deregister(() -> { });
+        drained.deregister();
         drained.end();
         for (Thread thread : clients) thread.join();
         Threads.sleep(2_000);
--- a/review/standin-3/OperatorConfig.java
+++ b/review/standin-3/OperatorConfig.java
@@ -39,13 +39,18 @@
         return this;
     }
 
+    /** Adds a tenant whose quota no case reaches. */
     OperatorConfig tenant(String name, String... keys) {
+        return tenant(name, 500, 500, keys);
+    }
+
+    OperatorConfig tenant(String name, int ratePerS, int burst, String... keys) {
         Map<String, Object> tenant = new LinkedHashMap<>();
         tenant.put("name", name);
         tenant.put("apiKeys", List.of(keys));
         tenant.put("priority", 1);
-        tenant.put("ratePerS", 500);
-        tenant.put("burst", 500);
+        tenant.put("ratePerS", ratePerS);
+        tenant.put("burst", burst);
         tenants.add(tenant);
         return this;
     }
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -83,6 +83,10 @@
         return version;
     }
 
+    synchronized boolean has(String table, String key) {
+        return image.rows.containsKey(table + "\n" + key);
+    }
+
     synchronized boolean isAway() {
         return away;
     }
