Versions of the store are compared within one era only

Cause: versions were plain numbers. ConfigRepository passed the version that it knew, HttpTableService reported the newer row with that number as unchanged, and the watch continued beyond it. Nothing read Store-Era.

Ruled out: the replica. It applies the same document when it is read.

Change: StoreVersion is a number and its era, and alone decides whether two versions may be compared. Reads by a known version, watches and conditional writes use it. The stand-in of the store takes copies, is restored from them and announces its era.

Why it works: the era rises with each restore, so an equal number of another era is read in full, and a watch from it starts again with a full read.

--- a/core/src/main/kotlin/wigeonreel/store/TableService.kt
+++ b/core/src/main/kotlin/wigeonreel/store/TableService.kt
@@ -8,32 +8,32 @@
     val row: String,
 )
 
-/** Row as read from the store; each write increases its [version]. */
+/** Row as read from the store; each write increases its [version] unless the store is restored. */
 data class Row(
     val name: RowName,
-    val version: Long,
+    val version: StoreVersion,
     val value: String,
 )
 
 /** Result of a row read. */
 sealed interface RowRead {
     /** Latest version of the whole store at the time of the read, from which a watch can continue. */
-    val storeVersion: Long
+    val storeVersion: StoreVersion
 
     /** The row exists. */
     data class Found(
         val row: Row,
-        override val storeVersion: Long = row.version,
+        override val storeVersion: StoreVersion = row.version,
     ) : RowRead
 
     /** The row still has the version that the reader passed. */
     data class Unchanged(
-        override val storeVersion: Long,
+        override val storeVersion: StoreVersion,
     ) : RowRead
 
     /** The row does not exist. */
     data class Absent(
-        override val storeVersion: Long,
+        override val storeVersion: StoreVersion,
     ) : RowRead
 }
 
@@ -41,12 +41,12 @@
 sealed interface RowWrite {
     /** The write took effect. */
     data class Written(
-        val version: Long,
+        val version: StoreVersion,
     ) : RowWrite
 
-    /** The row has [version] instead of the expected version; nothing was written. */
+    /** The row has [version] instead of the expected version, or null if it was not asked for; nothing was written. */
     data class Conflict(
-        val version: Long,
+        val version: StoreVersion?,
     ) : RowWrite
 }
 
@@ -91,20 +91,28 @@
     /** The changes up to [version]; [rows] contains the written rows and omits removed rows. */
     data class Available(
         val rows: List<Row>,
-        val version: Long,
+        val version: StoreVersion,
     ) : TableChanges
 
-    /** The history after the requested version is no longer kept; the caller must read the rows instead. */
+    /** The history after the requested version is no longer kept, or the store was restored; the caller must read the rows instead. */
     data object Forgotten : TableChanges
 }
 
 /** Transactional table service of the platform. Callbacks run on the caller's event loop. */
 interface TableService {
-    /** Reads a row, or returns [RowRead.Unchanged] if it still has [knownVersion]. */
-    fun read(name: RowName, knownVersion: Long, onResult: (Either<StoreError, RowRead>) -> Unit)
+    /** Eras of the store, in which its versions can be compared. */
+    val eras: StoreEras
 
-    /** Writes a row if its version is [expectedVersion]; 0 requires an absent row and null accepts any version. */
-    fun write(name: RowName, value: String, expectedVersion: Long?, onResult: (Either<StoreError, RowWrite>) -> Unit)
+    /** Reads a row, or returns [RowRead.Unchanged] if it still has [knownVersion]; null reads it in any case. */
+    fun read(name: RowName, knownVersion: StoreVersion?, onResult: (Either<StoreError, RowRead>) -> Unit)
+
+    /**
+     * Writes a row if its version is [expectedVersion]; [StoreVersion.ABSENT] requires an absent row and null accepts any version.
+     *
+     * If the store was restored since [expectedVersion] was read, the result is a [RowWrite.Conflict], or a [StoreError.InDoubt] if
+     * only the answer to the write shows it.
+     */
+    fun write(name: RowName, value: String, expectedVersion: StoreVersion?, onResult: (Either<StoreError, RowWrite>) -> Unit)
 
     /** Deletes a row regardless of its version. */
     fun delete(name: RowName, onResult: (Either<StoreError, Unit>) -> Unit)
@@ -113,5 +121,5 @@
     fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, TablePage>) -> Unit)
 
     /** Waits up to [waitMs] milliseconds for changes of [table] after [version]; returns no rows if there are none. */
-    fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit)
+    fun watch(table: String, version: StoreVersion, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit)
 }
--- a/daemon/src/main/kotlin/wigeonreel/control/ConfigRepository.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ConfigRepository.kt
@@ -18,6 +18,7 @@
 import wigeonreel.store.RowRead
 import wigeonreel.store.RowWrite
 import wigeonreel.store.StoreError
+import wigeonreel.store.StoreVersion
 import wigeonreel.store.TableChanges
 import wigeonreel.store.TableService
 import java.util.UUID
@@ -66,8 +67,8 @@
     private val onChange: () -> Unit,
 ) {
     private val log = Log("config")
-    private var knownRowVersion = 0L
-    private var watchFromVersion = 0L
+    private var knownRowVersion: StoreVersion? = null
+    private var watchFromVersion: StoreVersion? = null
     private var watching = false
     private var nextWatchMs = 0L
     private var storeUnavailable = false
@@ -98,10 +99,10 @@
     fun ensureWatching(nowMs: Long) {
         if (watching || nowMs < nextWatchMs) return
         watching = true
-        if (watchFromVersion == 0L) read { onWatchEnded(it) } else watch()
+        watchFromVersion?.let { watch(it) } ?: read { onWatchEnded(it) }
     }
 
-    private fun read(onVersion: (Long?) -> Unit) {
+    private fun read(onVersion: (StoreVersion?) -> Unit) {
         val startedMs = clock.nowMs()
         table.read(format.row, knownRowVersion) { result ->
             result.fold({ onStoreUnavailable(it) }, { onRead(it, startedMs) })
@@ -109,9 +110,9 @@
         }
     }
 
-    private fun watch() {
+    private fun watch(fromVersion: StoreVersion) {
         val startedMs = clock.nowMs()
-        table.watch(format.row.table, watchFromVersion, WATCH_TIMEOUT_MS) { result ->
+        table.watch(format.row.table, fromVersion, WATCH_TIMEOUT_MS) { result ->
             result.onLeft { onStoreUnavailable(it) }
             val changes = result.getOrNull() as? TableChanges.Available
             changes?.let { onChanges(it, startedMs) }
@@ -119,10 +120,10 @@
         }
     }
 
-    /** Sets the [version] to watch from; null, after a failed call or a history gap, makes the next call read the row again. */
-    private fun onWatchEnded(version: Long?) {
+    /** Sets the [version] to watch from; null, after a failed call or a gap in the history, makes the next call read the row again. */
+    private fun onWatchEnded(version: StoreVersion?) {
         watching = false
-        watchFromVersion = version ?: 0
+        watchFromVersion = version
         nextWatchMs = if (version == null) clock.nowMs() + RETRY_DELAY_MS + ThreadLocalRandom.current().nextLong(RETRY_DELAY_MS) else 0
     }
 
@@ -150,7 +151,7 @@
      */
     fun write(edits: List<ConfigEdit>, expectedVersion: Long?, onResult: (WriteResult) -> Unit) {
         val operation = UUID.randomUUID().toString()
-        table.read(format.row, 0) { result ->
+        table.read(format.row, null) { result ->
             result.fold({ onResult(WriteResult.NotStored(it)) }, { writeOver(it, edits, expectedVersion, operation, onResult) })
         }
     }
@@ -193,7 +194,7 @@
         operation: String,
         onResult: (WriteResult) -> Unit,
     ) {
-        val rowVersion = (read as? RowRead.Found)?.row?.version ?: 0
+        val rowVersion = (read as? RowRead.Found)?.row?.version ?: StoreVersion.ABSENT
         val base = baseOf(read).getOrElse { return onResult(WriteResult.Refused(it)) }
         val planned = planOver(base, edits, expected).getOrElse { return onResult(WriteResult.Refused(it)) }
         val document = planned.toDocument(operation, base.operations)
@@ -211,7 +212,7 @@
 
     private fun put(
         document: ConfigDocument,
-        rowVersion: Long,
+        rowVersion: StoreVersion,
         operation: String,
         attemptsLeft: Int,
         onResult: (WriteResult) -> Unit,
@@ -232,19 +233,19 @@
     /** Reads the stored document after a conflict or a lost answer to see whether [operation] took effect; if not, retries it. */
     private fun resolve(
         document: ConfigDocument,
-        rowVersion: Long,
+        rowVersion: StoreVersion,
         operation: String,
         attemptsLeft: Int,
         error: StoreError?,
         onResult: (WriteResult) -> Unit,
     ) {
         if (error is StoreError.Unavailable && attemptsLeft == MAX_WRITE_ATTEMPTS) return onResult(WriteResult.NotStored(error))
-        table.read(format.row, 0) { result ->
+        table.read(format.row, null) { result ->
             val found = result.getOrNull() as? RowRead.Found
             val stored = found?.let { format.parse(it.row.value).getOrNull() }
             when {
                 stored != null && stored.operations.any { it.id == operation } -> onStored(document, onResult)
-                stored != null && found.row.version != rowVersion -> onResult(conflict(document, stored))
+                stored != null && !found.row.version.isSameAs(rowVersion) -> onResult(conflict(document, stored))
                 attemptsLeft > 1 -> put(document, rowVersion, operation, attemptsLeft - 1, onResult)
                 else -> onResult(WriteResult.Unknown(error ?: StoreError.InDoubt("no answer")))
             }
--- a/daemon/src/main/kotlin/wigeonreel/control/DepartureRecord.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/DepartureRecord.kt
@@ -30,7 +30,7 @@
 
     /** Reads the record, retrying until the store answers; [onRead] gets the departure, or null if there is none. */
     fun read(onRead: (Departure?) -> Unit) {
-        table.read(row, 0) { result ->
+        table.read(row, null) { result ->
             result.fold(
                 { loop.schedule({ read(onRead) }, RETRY_DELAY_MS, TimeUnit.MILLISECONDS) },
                 { onRead((it as? RowRead.Found)?.row?.value?.let(::parse)) },
--- a/daemon/src/test/kotlin/wigeonreel/control/MemberRegistryTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/control/MemberRegistryTest.kt
@@ -20,7 +20,9 @@
 import wigeonreel.store.RowName
 import wigeonreel.store.RowRead
 import wigeonreel.store.RowWrite
+import wigeonreel.store.StoreEras
 import wigeonreel.store.StoreError
+import wigeonreel.store.StoreVersion
 import wigeonreel.store.TableChanges
 import wigeonreel.store.TablePage
 import wigeonreel.store.TableService
@@ -46,13 +48,20 @@
             )
         }
 
-        override fun read(name: RowName, knownVersion: Long, onResult: (Either<StoreError, RowRead>) -> Unit) = Unit
+        override val eras = StoreEras()
 
-        override fun write(name: RowName, value: String, expectedVersion: Long?, onResult: (Either<StoreError, RowWrite>) -> Unit) = Unit
+        override fun read(name: RowName, knownVersion: StoreVersion?, onResult: (Either<StoreError, RowRead>) -> Unit) = Unit
+
+        override fun write(
+            name: RowName,
+            value: String,
+            expectedVersion: StoreVersion?,
+            onResult: (Either<StoreError, RowWrite>) -> Unit,
+        ) = Unit
 
         override fun delete(name: RowName, onResult: (Either<StoreError, Unit>) -> Unit) = Unit
 
-        override fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) = Unit
+        override fun watch(table: String, version: StoreVersion, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) = Unit
     }
 
     private fun member(id: String, port: Int = 7_000, host: String = "127.0.0.1", startedAtMs: Long = 5) =
@@ -62,7 +71,7 @@
 
     private fun encode(bytes: ByteArray) = Base64.getEncoder().encodeToString(bytes)
 
-    private fun row(id: String, value: String) = Row(RowName("daemons", id), 1, value)
+    private fun row(id: String, value: String) = Row(RowName("daemons", id), StoreVersion(1, 1), value)
 
     @TestFactory
     fun `a row of another program keeps the daemons from being read`() =
--- a/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
+++ b/scenario/src/main/kotlin/wigeonreel/soak/ConfigSoak.kt
@@ -14,7 +14,9 @@
 import wigeonreel.store.RowName
 import wigeonreel.store.RowRead
 import wigeonreel.store.RowWrite
+import wigeonreel.store.StoreEras
 import wigeonreel.store.StoreError
+import wigeonreel.store.StoreVersion
 import wigeonreel.store.TableChanges
 import wigeonreel.store.TablePage
 import wigeonreel.store.TableService
@@ -30,10 +32,12 @@
     val current: Row? get() = history.lastOrNull()
     val writes: List<Row> get() = history
 
-    override fun read(name: RowName, knownVersion: Long, onResult: (Either<StoreError, RowRead>) -> Unit) =
+    override val eras = StoreEras()
+
+    override fun read(name: RowName, knownVersion: StoreVersion?, onResult: (Either<StoreError, RowRead>) -> Unit) =
         answer({ read(knownVersion) }, onResult)
 
-    override fun write(name: RowName, value: String, expectedVersion: Long?, onResult: (Either<StoreError, RowWrite>) -> Unit) =
+    override fun write(name: RowName, value: String, expectedVersion: StoreVersion?, onResult: (Either<StoreError, RowWrite>) -> Unit) =
         answer({ write(value, expectedVersion) }, onResult)
 
     override fun delete(name: RowName, onResult: (Either<StoreError, Unit>) -> Unit) = onResult(Unit.right())
@@ -41,7 +45,7 @@
     override fun scan(table: String, after: String, limit: Int, onResult: (Either<StoreError, TablePage>) -> Unit) =
         onResult(TablePage(emptyList(), null).right())
 
-    override fun watch(table: String, version: Long, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) =
+    override fun watch(table: String, version: StoreVersion, waitMs: Long, onResult: (Either<StoreError, TableChanges>) -> Unit) =
         queue.after(waitMs) { onResult(TableChanges.Forgotten.right()) }
 
     private fun <T> answer(apply: () -> T, onResult: (Either<StoreError, T>) -> Unit) {
@@ -54,19 +58,22 @@
         if (lostAnswer) queue.after(TIMEOUT_MS) { onResult(StoreError.InDoubt("lost").left()) }
     }
 
-    private fun read(knownVersion: Long): RowRead {
+    private fun read(knownVersion: StoreVersion?): RowRead {
         val stale = faulty && history.size > 1 && queue.chance(STALE_READ_PROBABILITY)
-        val row = (if (stale) history[history.size - 2] else history.lastOrNull()) ?: return RowRead.Absent(0)
+        val row = (if (stale) history[history.size - 2] else history.lastOrNull()) ?: return RowRead.Absent(version(0))
         return if (row.version == knownVersion) RowRead.Unchanged(row.version) else RowRead.Found(row)
     }
 
-    private fun write(value: String, expectedVersion: Long?): RowWrite {
-        val found = current?.version ?: 0
+    private fun write(value: String, expectedVersion: StoreVersion?): RowWrite {
+        val found = current?.version ?: StoreVersion.ABSENT
         if (expectedVersion != null && expectedVersion != found) return RowWrite.Conflict(found)
-        history += Row(CONFIG_ROW, found + 1, value)
-        return RowWrite.Written(found + 1)
+        val next = version(found.number + 1)
+        history += Row(CONFIG_ROW, next, value)
+        return RowWrite.Written(next)
     }
 
+    private fun version(number: Long) = StoreVersion(number, StoreVersion.NO_ERA)
+
     private companion object {
         const val ANSWER_LOSS_PROBABILITY = 0.2
         const val STALE_READ_PROBABILITY = 0.05
--- a/standin/src/main/kotlin/wigeonreel/standin/Faults.kt
+++ b/standin/src/main/kotlin/wigeonreel/standin/Faults.kt
@@ -2,8 +2,8 @@
 
 import wigeonreel.http.HttpRequest
 
-/** Faults that a scenario can inject into the table service. */
-enum class StoreFault { NONE, OUTAGE, BUSY, SILENT, SLOW, LOSE_ANSWERS, LATE_WRITES, FORGET }
+/** Faults that a scenario can inject into the table service. [FORGET], [COPY] and [RESTORE] take effect once. */
+enum class StoreFault { NONE, OUTAGE, BUSY, SILENT, SLOW, LOSE_ANSWERS, LATE_WRITES, FORGET, COPY, RESTORE }
 
 /**
  * Active fault of one table service.
--- a/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
+++ b/standin/src/test/kotlin/wigeonreel/processes/SoakPlan.kt
@@ -130,10 +130,7 @@
 
     private fun storeTrouble() =
         Step.StoreTrouble(
-            StoreFault.entries
-                .filter {
-                    it != StoreFault.NONE
-                }.random(random),
+            STORE_FAULTS.random(random),
             random.nextLong(2_000, 9_000),
         )
 
@@ -145,5 +142,8 @@
 
         /** Time between the last step and the end of the load, in which the fleet has to serve again. */
         const val RECOVERY_MS = 20_000L
+
+        /** Leaves out the restore, after which the operator and the checks would have to repeat what was lost. */
+        private val STORE_FAULTS = StoreFault.entries - setOf(StoreFault.NONE, StoreFault.COPY, StoreFault.RESTORE)
     }
 }
--- a/standin/src/test/kotlin/wigeonreel/standin/BrokenStoreAnswerTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/BrokenStoreAnswerTest.kt
@@ -13,6 +13,7 @@
 import wigeonreel.platform.HttpTableService
 import wigeonreel.store.RowName
 import wigeonreel.store.StoreError
+import wigeonreel.store.StoreVersion
 import wigeonreel.store.TableService
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -33,9 +34,9 @@
 
     private val calls =
         listOf(
-            Call("read") { read(ROW, 0, it) },
+            Call("read") { read(ROW, null, it) },
             Call("write") { write(ROW, "value", null, it) },
-            Call("watch") { watch("t", 1, 500, it) },
+            Call("watch") { watch("t", StoreVersion(1, StoreVersion.NO_ERA), 500, it) },
         )
 
     @TestFactory
