Daemons write their rows again after the store was restored

Cause: a daemon wrote its rows until the store had confirmed them once, and nothing told it that the store had lost them since.

Change: OwnedRow writes a row until it is confirmed, and again after a restore; a result or retry of an earlier write is ignored. StoreEras learns of a restore from the store's answers and from gossip, since most daemons don't call the store; a new era is pushed like a new configuration. An announcement that fails is written again after 1 s, before only with the next read of the others (30 s or 600 s).

Why it works: only the writer of a row knows it, and each daemon now knows each era at the latest from the next datagram of a peer that does.

--- a/core/src/main/kotlin/wigeonreel/membership/GossipMessage.kt
+++ b/core/src/main/kotlin/wigeonreel/membership/GossipMessage.kt
@@ -15,6 +15,7 @@
  * One datagram of the membership protocol.
  *
  * @param target daemon to probe on behalf of the sender, in a [GossipKind.PING_REQUEST] and the [GossipKind.ACK] to it.
+ * @param storeEra latest era of the store that the sender knows, or null; tells daemons that don't call the store of a restore.
  * @param digest hash of the sender's view, which lets two daemons detect that their views differ.
  * @param bucketDigests hash of each bucket of the sender's view, in a [GossipKind.SYNC]; the receiver sends its members of the
  *   buckets that differ.
@@ -27,6 +28,7 @@
     val updates: List<Member> = emptyList(),
     val proof: ConfigProof = ConfigProof(0, 0),
     val config: ConfigDelta? = null,
+    val storeEra: Long? = null,
     val digest: Long = 0,
     val bucketDigests: List<Long> = emptyList(),
 )
--- a/core/src/main/kotlin/wigeonreel/membership/Membership.kt
+++ b/core/src/main/kotlin/wigeonreel/membership/Membership.kt
@@ -67,9 +67,11 @@
         queue.add(self.id)
     }
 
-    /** Sets the attachment of outgoing datagrams; a newer configuration version is pushed from the next gossip round on. */
+    /** Sets the attachment of outgoing datagrams; a newer configuration version or store era is pushed from the next gossip round on. */
     fun updateAttachment(next: GossipAttachment) {
-        if (next.proof.version > attachment.proof.version) attachmentSends = maxSends()
+        val eraBefore = attachment.storeEra
+        val isRestored = eraBefore != null && next.storeEra != eraBefore
+        if (isRestored || next.proof.version > attachment.proof.version) attachmentSends = maxSends()
         attachment = next
     }
 
@@ -251,6 +253,7 @@
             sender = self,
             proof = attachment.proof,
             config = if (attachmentSends > 0) attachment.config else null,
+            storeEra = attachment.storeEra,
             digest = view.digest,
         )
 
@@ -287,10 +290,11 @@
     }
 }
 
-/** Configuration data that a daemon attaches to its datagrams. */
+/** Configuration data and era of the store that a daemon attaches to its datagrams. */
 data class GossipAttachment(
     val proof: ConfigProof = ConfigProof(0, 0),
     val config: ConfigDelta? = null,
+    val storeEra: Long? = null,
 )
 
 private fun bridgeWeight(id: String): Long = Hashing.murmur3_128().hashString("bridge/$id", Charsets.UTF_8).asLong()
--- a/daemon/src/main/kotlin/wigeonreel/codec/GossipCodec.kt
+++ b/daemon/src/main/kotlin/wigeonreel/codec/GossipCodec.kt
@@ -38,6 +38,7 @@
         .setConfigVersion(proof.version)
         .setConfigProvenAtMs(proof.provenAtMs)
         .also { builder -> config?.let { builder.setConfig(it.toWire()) } }
+        .also { builder -> storeEra?.let { builder.setStoreEra(it) } }
         .setDigest(digest)
         .addAllBucketDigests(bucketDigests)
         .build()
@@ -75,6 +76,7 @@
             updates = updates,
             proof = ConfigProof(configVersion, configProvenAtMs),
             config = if (hasConfig()) config.toCore() else null,
+            storeEra = if (hasStoreEra() && storeEra >= 0) storeEra else null,
             digest = digest,
             bucketDigests = bucketDigestsList,
         ),
--- a/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/ControlService.kt
@@ -70,7 +70,7 @@
 class ControlService(
     private val loop: EventLoopGroup,
     self: Member,
-    table: TableService,
+    private val table: TableService,
     private val clock: Clock,
     private val policy: ControlPolicy,
     private val fetchConfig: (PeerAddress, Long, (ConfigDelta) -> Unit) -> Unit,
@@ -80,12 +80,12 @@
     private val log = Log("control")
     private val membership = Membership(self, MembershipPolicy(), Random(ThreadLocalRandom.current().nextLong()))
     private val registry = MemberRegistry(table)
+    private val announcement = OwnedRow(loop, table, MemberRegistry.rowOf(self.id), ANNOUNCE_RETRY_MS)
     private val socket: GossipSocket =
         GossipSocket(loop, InetSocketAddress(self.address.host, self.address.port)) { message, from -> onMessage(message, from) }
     private var publishedChangeCount = -1L
     private var publishedVersion = -1L
     private var nextPollMs = 0L
-    private var announced = false
     private var announcementsRead = false
     private val startedAtMs = clock.nowMs()
     private val watcherElection = WatcherElection(startedAtMs)
@@ -121,7 +121,8 @@
         val withdrawn = CountDownLatch(1)
         loop
             .submit {
-                registry.withdraw(membership.self) { withdrawn.countDown() }
+                // If this fails, the row only lists a daemon that can't be reached.
+                announcement.delete { withdrawn.countDown() }
                 leave(MemberState.LEFT)
             }.sync()
         withdrawn.await(WITHDRAW_TIMEOUT_MS, TimeUnit.MILLISECONDS)
@@ -181,15 +182,13 @@
 
     /** Writes this daemon's row before the other rows are read, so at least one of two starting daemons finds the other. */
     private fun announceSelf() =
-        registry.announce(membership.self) {
-            announced = true
-            nextSeedReadMs = clock.nowMs()
+        announcement.write(MemberRegistry.announcementOf(membership.self)) {
+            if (!announcementsRead) nextSeedReadMs = clock.nowMs()
         }
 
     /** Reads the announced daemons. Periodic reads by a few daemons reconnect the parts of the fleet after a partition. */
     private fun readSeeds(nowMs: Long) {
         nextSeedReadMs = nowMs + ALONE_SEED_INTERVAL_MS
-        if (!announced) announceSelf()
         registry.readSeeds { seeds, complete ->
             membership.seed(seeds.filter { it.id != self.id }, clock.nowMs())
             if (!complete) return@readSeeds
@@ -218,6 +217,7 @@
             val nowMs = clock.nowMs()
             socket.send(membership.onMessage(message, from, nowMs))
             message.config?.let { if (config.offer(it) is ConfigOffer.Gap) fetch(message.sender.address, nowMs) }
+            message.storeEra?.let { table.eras.observe(it) }
             if (message.proof.version > config.replica.current.version) fetch(message.sender.address, nowMs)
             config.prove(message.proof.version, message.proof.provenAtMs)
         }
@@ -238,7 +238,7 @@
     private fun attach() {
         val current = config.replica.current
         val delta = if (policy.ownsConfiguration) smallDelta(current) else null
-        membership.updateAttachment(GossipAttachment(ConfigProof(current.version, config.provenAtMs), delta))
+        membership.updateAttachment(GossipAttachment(ConfigProof(current.version, config.provenAtMs), delta, table.eras.latest))
     }
 
     /** Returns the changes since the last call, or null if there are none or they are too large for a datagram. */
@@ -283,6 +283,9 @@
         /** Time in which a daemon discovers the whole fleet through its peers while the store is unavailable. */
         const val PEER_DISCOVERY_MS = 3_000L
 
+        /** Delay after which a daemon's row is written again that the store has not confirmed, in milliseconds. */
+        const val ANNOUNCE_RETRY_MS = 1_000L
+
         /** Maximum wait for the store to confirm this daemon's row before the other rows are read. */
         const val ANNOUNCE_TIMEOUT_MS = 1_500L
         const val ALONE_SEED_INTERVAL_MS = 1_000L
--- a/daemon/src/main/kotlin/wigeonreel/control/DepartureRecord.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/DepartureRecord.kt
@@ -15,7 +15,7 @@
 )
 
 /**
- * Latest departure of the local backend server, persisted in the store.
+ * Latest departure of the local backend server, persisted in the store and written again after a restore.
  *
  * Without the record, a daemon that restarts between acknowledging the departure and the exit of the server would read the
  * server's next heartbeat as a sign that the server is not leaving. Not thread-safe: used on [loop] only.
@@ -26,27 +26,29 @@
     daemon: String,
 ) {
     private val log = Log("departure")
-    private val row = RowName("departures", daemon)
+    private val name = RowName("departures", daemon)
+    private val row = OwnedRow(loop, table, name, RETRY_DELAY_MS, MAX_WRITE_ATTEMPTS)
 
     /** Reads the record, retrying until the store answers; [onRead] gets the departure, or null if there is none. */
     fun read(onRead: (Departure?) -> Unit) {
-        table.read(row, null) { result ->
+        table.read(name, null) { result ->
             result.fold(
                 { loop.schedule({ read(onRead) }, RETRY_DELAY_MS, TimeUnit.MILLISECONDS) },
-                { onRead((it as? RowRead.Found)?.row?.value?.let(::parse)) },
+                {
+                    onRead(
+                        (it as? RowRead.Found)
+                            ?.row
+                            ?.value
+                            ?.also(row::adopt)
+                            ?.let(::parse),
+                    )
+                },
             )
         }
     }
 
-    /** Writes the record, with up to [attempts] attempts until the store confirms it. */
-    fun write(departure: Departure, attempts: Int = MAX_WRITE_ATTEMPTS) {
-        table.write(row, "${departure.recordedAtMs} ${departure.startedAtMs ?: ""} ${departure.instance}", null) { result ->
-            result.onLeft {
-                log.warn("departure of ${departure.instance} not stored: ${it.message}")
-                if (attempts > 1) loop.schedule({ write(departure, attempts - 1) }, RETRY_DELAY_MS, TimeUnit.MILLISECONDS)
-            }
-        }
-    }
+    /** Writes the record, with up to [MAX_WRITE_ATTEMPTS] attempts until the store confirms it. */
+    fun write(departure: Departure) = row.write("${departure.recordedAtMs} ${departure.startedAtMs ?: ""} ${departure.instance}")
 
     private fun parse(text: String): Departure? {
         val fields = text.split(' ', limit = FIELD_COUNT)
--- a/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
+++ b/daemon/src/main/kotlin/wigeonreel/control/MemberRegistry.kt
@@ -22,19 +22,6 @@
     private val log = Log("registry")
     private val skippedRows = LinkedHashSet<RowName>()
 
-    /** Writes the row of [member] and calls [onWritten] once the store confirms it. Idempotent. */
-    fun announce(member: Member, onWritten: () -> Unit) =
-        table.write(rowOf(member), member.toText(), null) { result ->
-            result.fold({ log.info("announcement not written: ${it.message}") }, { onWritten() })
-        }
-
-    /** Deletes the row of [member] and calls [onEnd], also after a failure: the row then only lists an unreachable daemon. */
-    fun withdraw(member: Member, onEnd: () -> Unit) =
-        table.delete(rowOf(member)) { result ->
-            result.onLeft { log.info("announcement not deleted: ${it.message}") }
-            onEnd()
-        }
-
     /**
      * Reads all announcements page by page, since those of live daemons may stand behind those of many dead ones.
      *
@@ -49,10 +36,6 @@
             })
         }
 
-    private fun rowOf(member: Member) = RowName(TABLE, member.id)
-
-    private fun Member.toText() = Base64.getEncoder().encodeToString(GossipMessage(GossipKind.NEWS, 0, this).encode())
-
     /** Returns null for a row that another program wrote, which must not keep the others from being read. */
     private fun Row.toMember(): Member? =
         decodeBase64(value)
@@ -69,13 +52,19 @@
         if (skippedRows.size < MAX_LOGGED_ROWS && skippedRows.add(row)) log.warn("row $row skipped: $reason; another program wrote it")
     }
 
-    private companion object {
-        const val TABLE = "daemons"
+    companion object {
+        /** Returns the row of the daemon [id]. */
+        fun rowOf(id: String): RowName = RowName(TABLE, id)
+
+        /** Returns the text of [member]'s row. */
+        fun announcementOf(member: Member): String = Base64.getEncoder().encodeToString(GossipMessage(GossipKind.NEWS, 0, member).encode())
+
+        private const val TABLE = "daemons"
 
         /** Maximum number of rows that the store returns in one answer. */
-        const val PAGE_ROWS = 500
+        private const val PAGE_ROWS = 500
 
         /** Maximum number of invalid rows that are logged, once each. */
-        const val MAX_LOGGED_ROWS = 100
+        private const val MAX_LOGGED_ROWS = 100
     }
 }
--- a/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/codec/GossipCodecTest.kt
@@ -31,6 +31,7 @@
             updates = listOf(member.copy(id = "d3", server = null)),
             proof = ConfigProof(4, 77),
             config = ConfigDelta(3, 4, listOf(ConfigEntry("account/a", "{}", 4), ConfigEntry("key/k", null, 4))),
+            storeEra = 3,
             digest = -1,
             bucketDigests = listOf(1, -2),
         )
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -77,10 +77,15 @@
     fun stop() = daemon.leaveAndStop(clock.nowMs())
 }
 
-/** Mesh daemons, their backend servers and a [TableStandin] in one process on the loopback address. */
+/**
+ * Mesh daemons, their backend servers and a [TableStandin] in one process on the loopback address.
+ *
+ * @param domains number of failure domains over which the VMs are spread.
+ */
 class MeshFleet(
     services: List<String>,
     private val drainMs: Long = 2_000,
+    private val domains: Int = services.size,
 ) : AutoCloseable {
     private val loop = eventLoop("fakes")
     private val connector = HttpConnector(loop)
@@ -106,7 +111,7 @@
         val settings =
             MeshSettings(
                 id = "d$index",
-                place = Place("r", "z$index"),
+                place = Place("r", "z${index % domains}"),
                 callers = callers,
                 control = control,
                 readiness = readiness,
@@ -147,6 +152,23 @@
         check(done.get(5, TimeUnit.SECONDS)) { "the stand-in refused the configuration" }
     }
 
+    /** Returns the texts of the rows of [tableName] in the store by their names. */
+    fun rowsOf(tableName: String): Map<String, String> {
+        val done = CompletableFuture<Map<String, String>>()
+        loop.execute {
+            table.scan(tableName, "", 500) { page ->
+                done.complete(
+                    page
+                        .getOrNull()
+                        ?.rows
+                        .orEmpty()
+                        .associate { it.name.row to it.value },
+                )
+            }
+        }
+        return done.get(5, TimeUnit.SECONDS)
+    }
+
     /** Injects a fault into the store, or removes it with `none`. */
     fun storeFault(mode: String) = call(storeAddress, HttpRequest("GET", "/_fault?mode=$mode&ms=300"))
 
--- a/wire/src/main/java/wigeonreel/wire/Gossip.java
+++ b/wire/src/main/java/wigeonreel/wire/Gossip.java
@@ -431,6 +431,33 @@
     return configProvenAtMs_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 11;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Latest era of the store that the sender knows; not set before it knows one.
+   * </pre>
+   *
+   * <code>optional int64 store_era = 11;</code>
+   * @return Whether the storeEra field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreEra() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Latest era of the store that the sender knows; not set before it knows one.
+   * </pre>
+   *
+   * <code>optional int64 store_era = 11;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -480,6 +507,9 @@
     if (configProvenAtMs_ != 0L) {
       output.writeInt64(10, configProvenAtMs_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeInt64(11, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -535,6 +565,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(10, configProvenAtMs_);
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -575,6 +609,11 @@
         .equals(other.getBucketDigestsList())) return false;
     if (getConfigProvenAtMs()
         != other.getConfigProvenAtMs()) return false;
+    if (hasStoreEra() != other.hasStoreEra()) return false;
+    if (hasStoreEra()) {
+      if (getStoreEra()
+          != other.getStoreEra()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -618,6 +657,11 @@
     hash = (37 * hash) + CONFIG_PROVEN_AT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigProvenAtMs());
+    if (hasStoreEra()) {
+      hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStoreEra());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -785,6 +829,7 @@
       digest_ = 0L;
       bucketDigests_ = emptyLongList();
       configProvenAtMs_ = 0L;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -866,6 +911,10 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.configProvenAtMs_ = configProvenAtMs_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.storeEra_ = storeEra_;
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -976,6 +1025,9 @@
       if (other.getConfigProvenAtMs() != 0L) {
         setConfigProvenAtMs(other.getConfigProvenAtMs());
       }
+      if (other.hasStoreEra()) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1076,6 +1128,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1977,6 +2034,62 @@
       onChanged();
       return this;
     }
+
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Latest era of the store that the sender knows; not set before it knows one.
+     * </pre>
+     *
+     * <code>optional int64 store_era = 11;</code>
+     * @return Whether the storeEra field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreEra() {
+      return ((bitField0_ & 0x00000400) != 0);
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the sender knows; not set before it knows one.
+     * </pre>
+     *
+     * <code>optional int64 store_era = 11;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the sender knows; not set before it knows one.
+     * </pre>
+     *
+     * <code>optional int64 store_era = 11;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the sender knows; not set before it knows one.
+     * </pre>
+     *
+     * <code>optional int64 store_era = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/wire/src/main/java/wigeonreel/wire/GossipOrBuilder.java
+++ b/wire/src/main/java/wigeonreel/wire/GossipOrBuilder.java
@@ -149,4 +149,23 @@
    * @return The configProvenAtMs.
    */
   long getConfigProvenAtMs();
+
+  /**
+   * <pre>
+   * Latest era of the store that the sender knows; not set before it knows one.
+   * </pre>
+   *
+   * <code>optional int64 store_era = 11;</code>
+   * @return Whether the storeEra field is set.
+   */
+  boolean hasStoreEra();
+  /**
+   * <pre>
+   * Latest era of the store that the sender knows; not set before it knows one.
+   * </pre>
+   *
+   * <code>optional int64 store_era = 11;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
--- a/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
+++ b/wire/src/main/java/wigeonreel/wire/PeerOuterClass.java
@@ -185,7 +185,7 @@
       ".wigeonreel.wire.ConfigEntry\"L\n\013ConfigEn" +
       "try\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\017\n\007vers" +
       "ion\030\003 \001(\003\022\017\n\007removed\030\004 \001(\010\" \n\rConfigRece" +
-      "ipt\022\017\n\007version\030\001 \001(\003\"\365\002\n\006Gossip\022*\n\004kind\030" +
+      "ipt\022\017\n\007version\030\001 \001(\003\"\233\003\n\006Gossip\022*\n\004kind\030" +
       "\001 \001(\0162\034.wigeonreel.wire.Gossip.Kind\022\020\n\010s" +
       "equence\030\002 \001(\004\022\'\n\006sender\030\003 \001(\0132\027.wigeonre" +
       "el.wire.Member\022\016\n\006target\030\004 \001(\t\022(\n\007update" +
@@ -193,30 +193,31 @@
       "ig_version\030\006 \001(\003\022,\n\006config\030\007 \001(\0132\034.wigeo" +
       "nreel.wire.ConfigDelta\022\016\n\006digest\030\010 \001(\006\022\026" +
       "\n\016bucket_digests\030\t \003(\006\022\033\n\023config_proven_" +
-      "at_ms\030\n \001(\003\"?\n\004Kind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020" +
-      "\n\014PING_REQUEST\020\002\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004\"\340\001\n" +
-      "\006Member\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
-      "\022+\n\005state\030\003 \001(\0162\034.wigeonreel.wire.Member" +
-      "State\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016" +
-      "\n\006region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001(\t\022\017" +
-      "\n\007service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005ready\030" +
-      "\n \001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014\n\010AN" +
-      "SWERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBl" +
-      "ockState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNING\020\001\022" +
-      "\r\n\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005SPENT" +
-      "\020\004*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020" +
-      "\001\022\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n\004P" +
-      "eer\022L\n\010Exchange\022\035.wigeonreel.wire.Reques" +
-      "tFrame\032\035.wigeonreel.wire.ForwardReply(\0010" +
-      "\001\022C\n\005Block\022\035.wigeonreel.wire.BlockReques" +
-      "t\032\033.wigeonreel.wire.BlockReply\022F\n\006Borrow" +
-      "\022\036.wigeonreel.wire.BorrowRequest\032\034.wigeo" +
-      "nreel.wire.BorrowReply\022P\n\013FetchConfig\022#." +
-      "wigeonreel.wire.FetchConfigRequest\032\034.wig" +
-      "eonreel.wire.ConfigDelta\022K\n\013OfferConfig\022" +
-      "\034.wigeonreel.wire.ConfigDelta\032\036.wigeonre" +
-      "el.wire.ConfigReceiptB\023\n\017wigeonreel.wire" +
-      "P\001b\006proto3"
+      "at_ms\030\n \001(\003\022\026\n\tstore_era\030\013 \001(\003H\000\210\001\001\"?\n\004K" +
+      "ind\022\010\n\004PING\020\000\022\007\n\003ACK\020\001\022\020\n\014PING_REQUEST\020\002" +
+      "\022\010\n\004NEWS\020\003\022\010\n\004SYNC\020\004B\014\n\n_store_era\"\340\001\n\006M" +
+      "ember\022\n\n\002id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022+" +
+      "\n\005state\030\003 \001(\0162\034.wigeonreel.wire.MemberSt" +
+      "ate\022\014\n\004host\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022\016\n\006" +
+      "region\030\006 \001(\t\022\026\n\016failure_domain\030\007 \001(\t\022\017\n\007" +
+      "service\030\010 \001(\t\022\r\n\005slots\030\t \001(\r\022\r\n\005ready\030\n " +
+      "\001(\010\022\020\n\010revision\030\013 \001(\r*1\n\007Outcome\022\014\n\010ANSW" +
+      "ERED\020\000\022\013\n\007NOT_RUN\020\001\022\013\n\007UNKNOWN\020\002*V\n\nBloc" +
+      "kState\022\013\n\007BLOCKED\020\000\022\020\n\014SEEN_RUNNING\020\001\022\r\n" +
+      "\tSEEN_DONE\020\002\022\017\n\013RECORD_LOST\020\003\022\t\n\005SPENT\020\004" +
+      "*F\n\013MemberState\022\t\n\005ALIVE\020\000\022\013\n\007SUSPECT\020\001\022" +
+      "\010\n\004DEAD\020\002\022\013\n\007LEAVING\020\003\022\010\n\004LEFT\020\0042\200\003\n\004Pee" +
+      "r\022L\n\010Exchange\022\035.wigeonreel.wire.RequestF" +
+      "rame\032\035.wigeonreel.wire.ForwardReply(\0010\001\022" +
+      "C\n\005Block\022\035.wigeonreel.wire.BlockRequest\032" +
+      "\033.wigeonreel.wire.BlockReply\022F\n\006Borrow\022\036" +
+      ".wigeonreel.wire.BorrowRequest\032\034.wigeonr" +
+      "eel.wire.BorrowReply\022P\n\013FetchConfig\022#.wi" +
+      "geonreel.wire.FetchConfigRequest\032\034.wigeo" +
+      "nreel.wire.ConfigDelta\022K\n\013OfferConfig\022\034." +
+      "wigeonreel.wire.ConfigDelta\032\036.wigeonreel" +
+      ".wire.ConfigReceiptB\023\n\017wigeonreel.wireP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -341,7 +342,7 @@
     internal_static_wigeonreel_wire_Gossip_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_wigeonreel_wire_Gossip_descriptor,
-        new java.lang.String[] { "Kind", "Sequence", "Sender", "Target", "Updates", "ConfigVersion", "Config", "Digest", "BucketDigests", "ConfigProvenAtMs", });
+        new java.lang.String[] { "Kind", "Sequence", "Sender", "Target", "Updates", "ConfigVersion", "Config", "Digest", "BucketDigests", "ConfigProvenAtMs", "StoreEra", });
     internal_static_wigeonreel_wire_Member_descriptor =
       getDescriptor().getMessageTypes().get(20);
     internal_static_wigeonreel_wire_Member_fieldAccessorTable = new
