Departures are stored by the start of their server, all of them

Cause: MeshDaemon skipped the write of a departure if the last one that it had written was of the same id, so the second was never stored.

Ruled out: BackendTracker, which tells the starts apart, and the read at the start, which returned what was stored (that of the first start).

Change: BackendTracker alone keeps the departures, for each id the latest start that has left, also one announced as draining. DepartureRecord stores the whole list; a write is skipped only if the list is as it was stored, and none is made before the list of the earlier process is known.

Why it works: what is compared and stored is the whole state that a restarted daemon needs, so no part of a departure's identity can be left out.

--- a/core/src/main/kotlin/wigeonreel/backend/BackendTracker.kt
+++ b/core/src/main/kotlin/wigeonreel/backend/BackendTracker.kt
@@ -6,7 +6,7 @@
 /**
  * Tracks the state of a daemon's backend server from its reports, which may arrive late, twice or out of order.
  *
- * Draining is final: a server that has reported it is replaced only by a later start of a server.
+ * Leaving is final: a server that has announced it is replaced only by a later start of a server.
  */
 class BackendTracker {
     private data class Start(
@@ -14,23 +14,9 @@
         val startedAtMs: Long?,
     )
 
-    /** Departure of the start of [instance] at [startedAtMs]; if that is null, of all its starts up to [notAfterMs]. */
-    private data class Departure(
-        val instance: String,
-        val startedAtMs: Long?,
-        val notAfterMs: Long,
-    ) {
-        fun covers(start: Start) =
-            start.instance == instance &&
-                (
-                    start.startedAtMs == null ||
-                        (if (startedAtMs != null) start.startedAtMs == startedAtMs else start.startedAtMs <= notAfterMs)
-                )
-    }
-
     private var currentStart: Start? = null
     private var sequence = Long.MIN_VALUE
-    private val departures = LinkedHashSet<Departure>()
+    private val departuresByInstance = LinkedHashMap<String, Departure>()
 
     /** Latest accepted report, or null if there is none; in state DRAINING after the departure of its server. */
     var current: BackendReport? = null
@@ -39,26 +25,35 @@
     /** Whether the current server accepts new requests. */
     val ready: Boolean get() = current?.state == BackendState.READY
 
+    /** Latest departure of each server, with those recorded last at the end. */
+    val departures: List<Departure> get() = departuresByInstance.values.toList()
+
     /** Applies [report] unless it is outdated and returns its effect. */
     fun report(report: BackendReport): ReportOutcome {
         val reportedStart = Start(report.instance, report.startedAtMs)
-        if (departures.any { it.covers(reportedStart) } || isEarlierStart(report)) return ReportOutcome.OUTDATED
-        if (reportedStart != currentStart) return replace(report, reportedStart)
-        if (report.sequence != null && report.sequence <= sequence) return onLateReport(report)
-        sequence = report.sequence ?: sequence
-        return update(report)
+        if (hasLeft(reportedStart) || isEarlierStart(report)) return ReportOutcome.OUTDATED
+        val outcome = if (reportedStart == currentStart) update(report) else replace(report, reportedStart)
+        // Without a start time, the report can't cover a start that gives one.
+        if (current?.state == BackendState.DRAINING) record(Departure(report.instance, report.startedAtMs ?: Long.MIN_VALUE))
+        return outcome
     }
 
     /** Records at [nowMs] the departure of the server [instance], which is final; returns whether it is the current server. */
     fun leave(instance: String, startedAtMs: Long?, nowMs: Long): Boolean {
-        val known = current
-        val isCurrent =
-            known?.instance == instance && (startedAtMs == null || known.startedAtMs == null || known.startedAtMs == startedAtMs)
-        recordDeparture(Departure(instance, startedAtMs ?: known?.startedAtMs?.takeIf { isCurrent }, nowMs))
-        if (isCurrent) current = known?.copy(state = BackendState.DRAINING)
-        return isCurrent
+        val lastStartedAtMs = startedAtMs ?: current?.takeIf { it.instance == instance }?.startedAtMs ?: nowMs
+        return restore(Departure(instance, lastStartedAtMs))
     }
 
+    /** Records [departure], which an earlier process may have stored; returns whether it is that of the current server. */
+    fun restore(departure: Departure): Boolean {
+        record(departure)
+        val known = current?.takeIf { departure.covers(it.instance, it.startedAtMs) } ?: return false
+        current = known.copy(state = BackendState.DRAINING)
+        return true
+    }
+
+    private fun hasLeft(start: Start) = departuresByInstance[start.instance]?.covers(start.instance, start.startedAtMs) ?: false
+
     private fun isEarlierStart(report: BackendReport): Boolean {
         val known = currentStart?.startedAtMs ?: return false
         return report.startedAtMs != null && report.startedAtMs < known
@@ -72,18 +67,21 @@
     }
 
     /** A late or duplicate report still counts if it reports draining, because draining is final. */
-    private fun onLateReport(report: BackendReport): ReportOutcome =
-        if (report.state == BackendState.DRAINING) update(report) else ReportOutcome.OUTDATED
-
     private fun update(report: BackendReport): ReportOutcome {
-        val leaving = report.state == BackendState.DRAINING || current?.state == BackendState.DRAINING
-        current = report.copy(state = if (leaving) BackendState.DRAINING else BackendState.READY)
-        return if (leaving) ReportOutcome.LEAVING else ReportOutcome.UPDATED
+        val isLate = report.sequence != null && report.sequence <= sequence
+        if (isLate && report.state != BackendState.DRAINING) return ReportOutcome.OUTDATED
+        if (!isLate) sequence = report.sequence ?: sequence
+        current = report
+        return if (report.state == BackendState.DRAINING) ReportOutcome.LEAVING else ReportOutcome.UPDATED
     }
 
-    private fun recordDeparture(departure: Departure) {
-        departures += departure
-        if (departures.size > MAX_DEPARTURES) departures.remove(departures.first())
+    /** Keeps the later one of two departures of a server, since the earlier one may be announced again. */
+    private fun record(departure: Departure) {
+        val known = departuresByInstance[departure.instance]
+        if (known != null && known.lastStartedAtMs >= departure.lastStartedAtMs) return
+        departuresByInstance.remove(departure.instance)
+        departuresByInstance[departure.instance] = departure
+        if (departuresByInstance.size > MAX_DEPARTURES) departuresByInstance.remove(departuresByInstance.keys.first())
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
+++ b/daemon/src/main/kotlin/wigeonreel/mesh/MeshDaemon.kt
@@ -5,10 +5,10 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import wigeonreel.backend.BackendReport
 import wigeonreel.backend.BackendState
+import wigeonreel.backend.Departure
 import wigeonreel.backend.ReportOutcome
 import wigeonreel.control.ControlService
 import wigeonreel.control.ControlSnapshot
-import wigeonreel.control.Departure
 import wigeonreel.control.DepartureRecord
 import wigeonreel.daemon.Clock
 import wigeonreel.drain.ShutdownSchedule
@@ -88,7 +88,9 @@
             ControlService(control, self(), table, clock, platform.control, ::fetchConfig, ::publish),
         )
     private var announcedReady = false
-    private var recordedInstance: String? = null
+
+    /** Departures in the store as far as this daemon knows, or null until they have been read. */
+    private var storedDepartures: List<Departure>? = null
 
     init {
         val limit = settings.http.maxBodyBytes + MESSAGE_OVERHEAD_BYTES
@@ -104,11 +106,11 @@
         gauge("wigeon.log.dropped") { log.dropped }
     }
 
-    /** Starts all services and reads the departure record of the local backend server. */
+    /** Starts all services and reads the departures of the local backend servers. */
     fun start() {
         state.departureReadDeadlineMs = clock.nowMs() + DEPARTURE_READ_TIMEOUT_MS
         kernel.start()
-        control.execute { departures.read { departure -> traffic.execute { onDepartureRead(departure) } } }
+        control.execute { departures.read { stored -> traffic.execute { onDeparturesRead(stored) } } }
         traffic.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
         events.changed("start", "id=${settings.id} incarnation=$incarnation place=${settings.place} ${settings.boundsText}")
     }
@@ -173,12 +175,22 @@
 
     private fun onUnreachable(id: String) = control.execute { fleet.onUnreachable(id) }
 
-    private fun onDepartureRead(departure: Departure?) {
+    private fun onDeparturesRead(stored: List<Departure>) {
         state.departureReadDeadlineMs = 0
-        departure?.let { state.backend.leave(it.instance, it.startedAtMs, it.recordedAtMs) }
+        stored.forEach { state.backend.restore(it) }
+        storedDepartures = stored
+        storeDepartures()
         announce()
     }
 
+    /** Stores the departures if they have changed; not before those of the earlier process are known, which it would overwrite. */
+    private fun storeDepartures() {
+        val known = state.backend.departures
+        if (storedDepartures == null || known == storedDepartures) return
+        storedDepartures = known
+        control.execute { departures.write(known) }
+    }
+
     private fun readiness() = if (state.ready(clock.nowMs())) textResponse(OK, "ready") else textResponse(UNAVAILABLE, "not ready")
 
     private fun publish(snapshot: ControlSnapshot) =
@@ -214,7 +226,7 @@
         override fun report(report: BackendReport): ReportOutcome {
             val outcome = state.backend.report(report)
             events.reported(report, outcome)
-            if (report.state == BackendState.DRAINING && outcome != ReportOutcome.OUTDATED) record(report.instance, report.startedAtMs)
+            storeDepartures()
             if (outcome == ReportOutcome.NEW_SERVER) state.backendDownUntilMs = 0
             updateDrain()
             if (outcome != ReportOutcome.OUTDATED) {
@@ -227,7 +239,7 @@
         override fun leave(instance: String, startedAtMs: Long?) {
             val current = state.backend.leave(instance, startedAtMs, clock.nowMs())
             events.changed("backend-leaves", "instance=$instance current=$current")
-            record(instance, startedAtMs)
+            storeDepartures()
             updateDrain()
             if (current) announce()
         }
@@ -241,13 +253,6 @@
                 state.backendDrainedAtMs = clock.nowMs() + settings.drainMs - DRAIN_MARGIN_MS
             }
         }
-
-        private fun record(instance: String, startedAtMs: Long?) {
-            if (instance == recordedInstance) return
-            recordedInstance = instance
-            val departure = Departure(instance, startedAtMs, clock.nowMs())
-            control.execute { departures.write(departure) }
-        }
     }
 
     private inner class PeerCalls : PeerHandler {
--- a/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/MeshFleet.kt
@@ -70,11 +70,20 @@
     val callers: HttpAddress,
     val control: HttpAddress,
     val readiness: HttpAddress,
-    val daemon: MeshDaemon,
     private val clock: Clock,
+    private val newDaemon: () -> MeshDaemon,
 ) {
+    var daemon: MeshDaemon = newDaemon()
+        private set
+
     /** Shuts the daemon down and blocks until it has stopped. */
     fun stop() = daemon.leaveAndStop(clock.nowMs())
+
+    /** Stops the daemon and starts it again, while the server continues. */
+    fun restart() {
+        stop()
+        daemon = newDaemon().also { it.start() }
+    }
 }
 
 /**
@@ -91,6 +100,7 @@
     private val connector = HttpConnector(loop)
     private val heartbeatSequence = AtomicInteger()
     private val draining = ConcurrentHashMap.newKeySet<FakeVm>()
+    private val silent = ConcurrentHashMap.newKeySet<FakeVm>()
     private val storeAddress = HttpAddress("127.0.0.1", freePort())
     private val table = HttpTableService(connector, storeAddress, 1_000)
 
@@ -102,7 +112,7 @@
 
     init {
         vms.forEach { it.daemon.start() }
-        loop.scheduleAtFixedRate({ vms.forEach { sendHeartbeat(it) } }, 0, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate({ (vms - silent).forEach { sendHeartbeat(it) } }, 0, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS)
     }
 
     private fun vm(index: Int, service: String): FakeVm {
@@ -126,23 +136,44 @@
             )
         val platform = sidecarPlatform({ service }) { ownLoop -> HttpTableService(HttpConnector(ownLoop), storeAddress, 1_000) }
         val clock = monotonicClock()
-        val daemon = MeshDaemon(settings, platform, clock) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
-        return FakeVm(server, callers, control, readiness, daemon, clock)
+        return FakeVm(server, callers, control, readiness, clock) {
+            MeshDaemon(settings, platform, clock) { InstanceReports(it) { ExpectedBackend(service, server.address) } }
+        }
     }
 
     private fun sendHeartbeat(vm: FakeVm) {
         val state = if (vm in draining) "draining" else "ready"
+        connector.send(vm.control, heartbeat(vm, "i-${vm.server.address.port}", state, startedAtMs = 1), 1_000) { }
+    }
+
+    private fun heartbeat(vm: FakeVm, instance: String, state: String, startedAtMs: Long?): HttpRequest {
         val body =
             """{"address":"${vm.server.address}","info":{"service":"${vm.server.service}","version":"v","zone":"z","slots":$SLOTS},""" +
-                """"status":{"state":"$state","seq":${heartbeatSequence.incrementAndGet()},"coldLeftS":0},"born":1}"""
-        val request = HttpRequest("POST", "/Instances.Heartbeat/i-${vm.server.address.port}", body = body.encodeToByteArray())
-        connector.send(vm.control, request, 1_000) { }
+                """"status":{"state":"$state","seq":${heartbeatSequence.incrementAndGet()},"coldLeftS":0}${bornField(startedAtMs)}}"""
+        return HttpRequest("POST", "/Instances.Heartbeat/$instance", body = body.encodeToByteArray())
     }
 
+    private fun bornField(startedAtMs: Long?) = startedAtMs?.let { ""","born":$it""" }.orEmpty()
+
     /** Deregisters the server of [vm] and waits for the acknowledgement of its daemon. */
     fun drain(vm: FakeVm) {
         draining += vm
-        call(vm.control, HttpRequest("POST", "/Instances.Deregister/i-${vm.server.address.port}"))
+        deregister(vm, "i-${vm.server.address.port}", startedAtMs = null)
+    }
+
+    /** Ends the periodic heartbeats of the server of [vm], whose test reports its state instead. */
+    fun silence(vm: FakeVm) {
+        silent += vm
+    }
+
+    /** Reports the [state] of a start of the server of [vm] and waits for the acknowledgement of its daemon. */
+    fun report(vm: FakeVm, instance: String, state: String, startedAtMs: Long?) =
+        call(vm.control, heartbeat(vm, instance, state, startedAtMs), HttpConnector(loop))
+
+    /** Deregisters one start of the server of [vm] and waits for the acknowledgement of its daemon. */
+    fun deregister(vm: FakeVm, instance: String, startedAtMs: Long?) {
+        val body = "{${bornField(startedAtMs).removePrefix(",")}}"
+        call(vm.control, HttpRequest("POST", "/Instances.Deregister/$instance", body = body.encodeToByteArray()), HttpConnector(loop))
     }
 
     /** Writes the operators' configuration to the store. */
@@ -172,10 +203,14 @@
     /** Injects a fault into the store, or removes it with `none`. */
     fun storeFault(mode: String) = call(storeAddress, HttpRequest("GET", "/_fault?mode=$mode&ms=300"))
 
-    /** Sends a request and waits for its result. */
-    fun call(to: HttpAddress, request: HttpRequest): HttpResult {
+    /**
+     * Sends a request with [through] and waits for its result.
+     *
+     * A stopped daemon in this process still answers on connections that it has, so a restarted one needs a new connector.
+     */
+    fun call(to: HttpAddress, request: HttpRequest, through: HttpConnector = connector): HttpResult {
         val done = CompletableFuture<HttpResult>()
-        loop.execute { connector.send(to, request, 10_000) { done.complete(it) } }
+        loop.execute { through.send(to, request, 10_000) { done.complete(it) } }
         return done.get(15, TimeUnit.SECONDS)
     }
 
--- a/standin/src/test/kotlin/wigeonreel/standin/RestoredRowsTest.kt
+++ b/standin/src/test/kotlin/wigeonreel/standin/RestoredRowsTest.kt
@@ -56,6 +56,16 @@
                 storeFault("restore")
                 awaitDepartures(1)
             },
+            Case("departure that an earlier process stored") {
+                awaitAnnouncements()
+                storeFault("copy")
+                drain(vms[2])
+                awaitDepartures(1)
+                vms[2].restart()
+                awaitAnnouncements()
+                storeFault("restore")
+                awaitDepartures(1)
+            },
             Case("departures and announcements") {
                 awaitAnnouncements()
                 vms.take(3).forEach { drain(it) }
