HttpListener.stop waits until its address is free

Cause: Netty reports a listening socket as closed, but the JDK closes a registered channel in the next selection of its event loop. A listener that starts on the same address before that finds it in use.

Change: stop() waits for a task that the loop runs after a selection.

Evidence: HttpListenerTest starts and stops a listener on one address again and again.

--- a/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
+++ b/http/src/main/kotlin/wigeonreel/http/HttpListener.kt
@@ -40,8 +40,12 @@
         channel = bootstrap.bind(host, port).sync().channel()
     }
 
+    /** Closes the listening socket and waits until its address is free. */
     override fun stop() {
-        channel?.close()?.sync()
+        val listening = channel ?: return
+        listening.close().sync()
+        // The JDK closes a registered socket in the next selection only; a delayed task runs after one.
+        loop.schedule({ }, 1, TimeUnit.MILLISECONDS).sync()
     }
 
     private fun initializer() =
