--- a/daemon/src/test/kotlin/wigeonreel/peer/PeerAnswersTest.kt
+++ b/daemon/src/test/kotlin/wigeonreel/peer/PeerAnswersTest.kt
@@ -5,6 +5,7 @@
 import io.grpc.stub.StreamObserver
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -92,6 +93,7 @@
         val unit: ByteArray,
     )
 
+    @Tag("known-red")
     @TestFactory
     fun `endless bytes at the address of a peer are read without end`() =
         listOf(
